--- /dev/null
+++ b/src/main/java/io/violetrail/api/UserApi.java
@@ -0,0 +1,283 @@
+package io.violetrail.api;
+
+import io.violetrail.config.Settings.Team;
+import io.violetrail.model.ControllerId;
+import io.violetrail.model.JobId;
+import io.violetrail.model.JobSpec;
+import io.violetrail.model.JobView;
+import io.violetrail.model.JobView.Status;
+import io.violetrail.model.MachineType;
+import io.violetrail.model.Shape;
+import io.violetrail.net.Service;
+import io.violetrail.node.Node;
+import io.violetrail.ownership.Holding;
+import io.violetrail.worker.Beats;
+import io.violetrail.wire.Cbor;
+import io.violetrail.wire.Cbor.Malformed;
+import io.violetrail.wire.JobWire;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** What users, workers and health checks ask of a controller. */
+public final class UserApi implements Service {
+  private static final Logger LOG = LoggerFactory.getLogger(UserApi.class);
+  private static final String WORK = "/work";
+  private static final String ABORT = "/abort";
+  private static final int MAX_OPEN_JOBS = 5_000;
+  private static final int MAX_BODY = 64 * 1024;
+
+  /** Below the 2 s that users wait for a poll, and the 5 s for the rest. */
+  private static final double POLL_S = 1.8;
+
+  private static final double CHANGE_S = 4.5;
+
+  private final Node node;
+  private final Jobs jobs;
+  private final Beats beats;
+
+  public UserApi(Node node, Jobs jobs) {
+    this.node = node;
+    this.jobs = jobs;
+    this.beats = new Beats(node, jobs);
+  }
+
+  @Override
+  public void handle(String method, String path, byte[] body, Consumer<Answer> done) {
+    boolean post = "POST".equals(method);
+    boolean get = "GET".equals(method);
+    if (path.equals("/agent/beat")) {
+      allow(post, done, () -> beats.handle(body, done));
+    } else if (path.equals("/ready")) {
+      allow(get, done, () -> done.accept(node.ready() ? Answer.of(200, Cbor.map().put("status", "ready")) : Answer.later("not ready")));
+    } else if (path.equals(WORK)) {
+      allow(post, done, () -> submit(body, within(CHANGE_S, done)));
+    } else if (path.startsWith(WORK + "/") && path.endsWith(ABORT)) {
+      String id = path.substring(WORK.length() + 1, Math.max(WORK.length() + 1, path.length() - ABORT.length()));
+      allow(post, done, () -> abort(id, within(CHANGE_S, done)));
+    } else if (path.startsWith(WORK + "/")) {
+      allow(get, done, () -> poll(path.substring(WORK.length() + 1), within(POLL_S, done)));
+    } else {
+      done.accept(Answer.empty(404));
+    }
+  }
+
+  private static void allow(boolean method, Consumer<Answer> done, Runnable action) {
+    if (method) {
+      action.run();
+    } else {
+      done.accept(Answer.empty(405));
+    }
+  }
+
+  /** Answers at most once, and in time. */
+  private Consumer<Answer> within(double seconds, Consumer<Answer> done) {
+    AtomicBoolean answered = new AtomicBoolean();
+    var timer = node.loop.after(seconds, () -> {
+      if (answered.compareAndSet(false, true)) {
+        done.accept(Answer.later("no decision in time"));
+      }
+    });
+    return answer -> {
+      if (answered.compareAndSet(false, true)) {
+        timer.cancel();
+        done.accept(answer);
+      }
+    };
+  }
+
+  private void submit(byte[] body, Consumer<Answer> done) {
+    JobSpec spec;
+    try {
+      if (body.length > MAX_BODY) {
+        throw new Malformed("the body is too long");
+      }
+      var map = Cbor.parse(body);
+      JobId id = JobId.wellFormed(map.path("name_id").asText(null)) ? new JobId(map.get("name_id").asText()) : null;
+      if (id != null && (jobs.terminalView(id) != null || jobs.boundTo(id) != null)) {
+        answerKnown(id, done);
+        return;
+      }
+      spec = JobWire.spec(map);
+      if (Cbor.bytes(JobWire.spec(spec)).length > node.settings.stateLimits().valueBytes() / 2) {
+        throw new Malformed("the job's description is too long");
+      }
+    } catch (Malformed e) {
+      LOG.debug("submission refused: {}", e.getMessage());
+      done.accept(Answer.error(400, e.getMessage()));
+      return;
+    }
+    Holding own = node.membership.own();
+    if (own == null || !own.active() || !node.membership.valid()) {
+      done.accept(Answer.later("this controller cannot take jobs now"));
+      return;
+    }
+    if (node.types().isEmpty()) {
+      done.accept(Answer.later("the machine types are not known yet"));
+      return;
+    }
+    String never = neverRuns(spec);
+    if (never != null) {
+      refuse(spec, never, done);
+      return;
+    }
+    if (own.jobs.size() >= MAX_OPEN_JOBS) {
+      done.accept(Answer.later("too many open jobs"));
+      return;
+    }
+    jobs.store(own, spec)
+        .whenComplete(
+            (fresh, failure) -> {
+              if (failure != null) {
+                done.accept(Answer.later("the job could not be stored"));
+              } else if (fresh) {
+                done.accept(Answer.of(201, JobWire.view(new JobView(spec.id().value(), Status.QUEUED, 0, 0))));
+              } else {
+                answerKnown(spec.id(), done);
+              }
+            });
+  }
+
+  /** A job that was accepted once is never refused, even if a check would now fail. */
+  private void refuse(JobSpec spec, String why, Consumer<Answer> done) {
+    jobs.lookUp(spec.id())
+        .whenComplete(
+            (found, failure) -> {
+              if (failure != null) {
+                done.accept(Answer.later("the state service does not answer"));
+              } else if (found.absent()) {
+                done.accept(Answer.error(422, why));
+              } else {
+                answerKnown(spec.id(), done);
+              }
+            });
+  }
+
+  private void answerKnown(JobId id, Consumer<Answer> done) {
+    resolve(id)
+        .whenComplete(
+            (view, failure) -> done.accept(failure != null || view == null ? Answer.later("the job's state is not known now") : Answer.of(200, JobWire.view(view))));
+  }
+
+  /** Why a job can never run; null if it can. */
+  private String neverRuns(JobSpec s) {
+    Team team = node.settings.teams().get(s.team());
+    if (team == null) {
+      return "unknown team";
+    }
+    boolean fits = false;
+    for (MachineType t : node.types().values()) {
+      fits |= (s.types() == null || s.types().contains(t.name())) && (s.zone() == null || t.zones().contains(s.zone())) && s.task().fitsIn(t.size());
+    }
+    if (!fits) {
+      return "a task fits no allowed machine type";
+    }
+    double tasks = s.shape() == Shape.ARRAY ? 1 : s.tasks();
+    if (s.task().cpus() * tasks > team.cpusMax() + 1e-6 || s.task().gpus() * tasks > team.gpusMax() + 1e-6) {
+      return "the job needs more than the team's limit";
+    }
+    return null;
+  }
+
+  private void poll(String text, Consumer<Answer> done) {
+    if (!JobId.wellFormed(text)) {
+      done.accept(Answer.empty(404));
+      return;
+    }
+    resolve(new JobId(text))
+        .whenComplete(
+            (view, failure) -> {
+              if (failure != null) {
+                done.accept(Answer.later("the job's state is not known now"));
+              } else {
+                done.accept(view == null ? Answer.empty(404) : Answer.of(200, JobWire.view(view)));
+              }
+            });
+  }
+
+  /** The current state of a job; null only if it is proven that there is no such job. */
+  private CompletableFuture<JobView> resolve(JobId id) {
+    JobView over = jobs.terminalView(id);
+    if (over != null) {
+      return CompletableFuture.completedFuture(over);
+    }
+    JobView here = node.membership.valid() ? node.openView(id) : null;
+    if (here != null) {
+      return CompletableFuture.completedFuture(here);
+    }
+    ControllerId entity = jobs.boundTo(id);
+    if (entity == null) {
+      return jobs.lookUp(id)
+          .thenCompose(
+              found -> {
+                if (found.openAt() == null) {
+                  return CompletableFuture.completedFuture(found.view());
+                }
+                return fromOwner(id, found.openAt()).exceptionally(f -> found.asStored());
+              });
+    }
+    return fromOwner(id, entity)
+        .handle((view, failure) -> failure == null ? CompletableFuture.completedFuture(view) : stored(id))
+        .thenCompose(f -> f);
+  }
+
+  private CompletableFuture<JobView> stored(JobId id) {
+    return jobs.lookUp(id).thenApply(found -> found.view() != null ? found.view() : found.asStored());
+  }
+
+  private CompletableFuture<JobView> fromOwner(JobId id, ControllerId entity) {
+    ControllerId owner = node.directory.ownerOf(entity);
+    if (owner == null || owner.equals(node.settings.self()) || !node.directory.isAlive(owner)) {
+      return CompletableFuture.failedFuture(new IllegalStateException("no owner to ask"));
+    }
+    return node.peers.ask(owner, id, false);
+  }
+
+  private void abort(String text, Consumer<Answer> done) {
+    if (!JobId.wellFormed(text)) {
+      done.accept(Answer.empty(404));
+      return;
+    }
+    JobId id = new JobId(text);
+    JobView over = jobs.terminalView(id);
+    if (over != null) {
+      done.accept(Answer.of(200, JobWire.view(over)));
+      return;
+    }
+    Holding h = node.holdingOf(id);
+    if (h != null && node.membership.valid()) {
+      answer(jobs.cancel(h, h.jobs.get(id)), done);
+      return;
+    }
+    jobs.lookUp(id)
+        .whenComplete(
+            (found, failure) -> {
+              if (failure != null) {
+                done.accept(Answer.later("the state service does not answer"));
+              } else if (found.absent()) {
+                done.accept(Answer.empty(404));
+              } else if (found.view() != null) {
+                done.accept(Answer.of(200, JobWire.view(found.view())));
+              } else {
+                ControllerId owner = node.directory.ownerOf(found.openAt());
+                if (owner == null || owner.equals(node.settings.self())) {
+                  done.accept(Answer.later("the job's owner is not ready"));
+                } else {
+                  answer(node.peers.ask(owner, id, true), done);
+                }
+              }
+            });
+  }
+
+  private static void answer(CompletableFuture<JobView> view, Consumer<Answer> done) {
+    view.whenComplete((v, failure) -> {
+      if (failure != null || !v.status().terminal()) {
+        done.accept(Answer.later("the cancellation is not stored yet"));
+      } else {
+        done.accept(Answer.of(200, JobWire.view(v)));
+      }
+    });
+  }
+}
--- a/src/main/java/io/violetrail/cli/Main.java
+++ b/src/main/java/io/violetrail/cli/Main.java
@@ -1,13 +1,135 @@
 package io.violetrail.cli;
-import io.undertow.Undertow;
-import com.fasterxml.jackson.dataformat.toml.TomlMapper;
-import java.io.File;
-public final class Main {
-  public static void main(String[] a) throws Exception {
-    if (a[0].equals("--rehearse")) { System.exit(0); }
-    var t = new TomlMapper().readTree(new File(a[a.length-1]));
-    String[] h = t.get("api_addr").asText().split(":");
-    Undertow.builder().setIoThreads(1).setWorkerThreads(2).addHttpListener(Integer.parseInt(h[1]), h[0]).setHandler(x -> x.getResponseSender().send("ok")).build().start();
-    System.err.println("up");
+
+import io.undertow.server.DefaultByteBufferPool;
+import io.violetrail.config.Options;
+import io.violetrail.config.Settings;
+import io.violetrail.net.UndertowHttp;
+import io.violetrail.net.UndertowLoop;
+import io.violetrail.net.UndertowServer;
+import io.violetrail.node.Node;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.Callable;
+import org.slf4j.LoggerFactory;
+import org.xnio.OptionMap;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** The daemon's command line. */
+@Command(
+    name = "violetrail",
+    mixinStandardHelpOptions = true,
+    versionProvider = Main.VersionOfJar.class,
+    description = "Runs one controller of a violetrail cluster.")
+public final class Main implements Callable<Integer> {
+  private static final int BAD_USAGE = 2;
+
+  @Option(names = "--config", paramLabel = "FILE", description = "the platform's settings (TOML)")
+  private Path config;
+
+  @Option(
+      names = "--lapse-s",
+      defaultValue = "${env:VIOLETRAIL_LAPSE_S}",
+      description = "a controller's lease in seconds (VIOLETRAIL_LAPSE_S); default: from the workers' lease")
+  private Double lapseS;
+
+  @Option(
+      names = "--idle-s",
+      defaultValue = "${env:VIOLETRAIL_IDLE_S:-60}",
+      description = "how long a machine may be idle before it is returned (VIOLETRAIL_IDLE_S); default: ${DEFAULT-VALUE}")
+  private double idleS;
+
+  @Option(
+      names = "--sample",
+      defaultValue = "${env:VIOLETRAIL_SAMPLE:-8}",
+      description = "machines compared for each task (VIOLETRAIL_SAMPLE); default: ${DEFAULT-VALUE}")
+  private int sample;
+
+  @Option(names = "--rehearse", hidden = true, description = "loads the daemon's classes for the class-data archive, and ends")
+  private boolean rehearse;
+
+  /** Reads the version from the jar's manifest. */
+  static final class VersionOfJar implements CommandLine.IVersionProvider {
+    @Override
+    public String[] getVersion() {
+      String version = Main.class.getPackage().getImplementationVersion();
+      return new String[] {"violetrail " + (version == null ? "development" : version)};
+    }
+  }
+
+  public static void main(String[] args) {
+    logging();
+    int status = new CommandLine(new Main()).execute(args);
+    if (status != 0) {
+      System.exit(status);
+    }
+  }
+
+  private static void logging() {
+    String level = System.getenv().getOrDefault("LOG_LEVEL", "info").toLowerCase(Locale.ROOT);
+    boolean known = Set.of("error", "info", "debug").contains(level);
+    Map.of(
+            "defaultLogLevel", known ? level : "info",
+            "showShortLogName", "true",
+            "showThreadName", "false",
+            "log.org.xnio", "error",
+            "log.io.undertow", "error",
+            "log.org.jboss", "error")
+        .forEach((k, v) -> System.setProperty("org.slf4j.simpleLogger." + k, v));
+    System.setProperty("org.jboss.logging.provider", "slf4j");
+    if (!known) {
+      LoggerFactory.getLogger(Main.class).warn("LOG_LEVEL {} is unknown; info is used", level);
+    }
+  }
+
+  @Override
+  public Integer call() throws IOException {
+    if (rehearse) {
+      return Rehearsal.run();
+    }
+    Settings settings;
+    try {
+      if (config == null) {
+        throw new Settings.Invalid("--config FILE is required");
+      }
+      if (sample < 1 || idleS < 0 || lapseS != null && !(lapseS >= 1)) {
+        throw new Settings.Invalid("--sample must be at least 1, --idle-s at least 0 and --lapse-s at least 1");
+      }
+      settings = Settings.load(config);
+    } catch (Settings.Invalid e) {
+      System.err.println("violetrail: " + e.getMessage());
+      return BAD_USAGE;
+    }
+    start(settings, new Options(lapseS, idleS, sample));
+    return 0;
+  }
+
+  static Node start(Settings settings, Options options) throws IOException {
+    XnioWorker worker =
+        Xnio.getInstance()
+            .createWorker(
+                OptionMap.builder()
+                    .set(org.xnio.Options.WORKER_IO_THREADS, 1)
+                    .set(org.xnio.Options.WORKER_TASK_CORE_THREADS, 1)
+                    .set(org.xnio.Options.WORKER_TASK_MAX_THREADS, 2)
+                    .set(org.xnio.Options.STACK_SIZE, 256L * 1024)
+                    .set(org.xnio.Options.TCP_NODELAY, true)
+                    .getMap());
+    var buffers = new DefaultByteBufferPool(true, 8 * 1024, 256, 0);
+    var loop = new UndertowLoop(worker.getIoThread());
+    var http = new UndertowHttp(worker.getIoThread(), loop, buffers);
+    Node node = new Node(settings, options, loop, http, new Random());
+    UndertowServer.start(settings.api(), node.api, loop, worker, buffers);
+    UndertowServer.start(settings.listen(), node.peerService(), loop, worker, buffers);
+    loop.locked(node::start);
+    LoggerFactory.getLogger(Main.class).info("{} serves at {}", settings.self(), settings.api());
+    return node;
   }
 }
--- /dev/null
+++ b/src/main/java/io/violetrail/cloud/CloudClient.java
@@ -0,0 +1,98 @@
+package io.violetrail.cloud;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.violetrail.config.Settings;
+import io.violetrail.model.MachineId;
+import io.violetrail.model.MachineType;
+import io.violetrail.net.Budget;
+import io.violetrail.net.Http;
+import io.violetrail.net.Loop;
+import io.violetrail.wire.Cbor;
+import io.violetrail.wire.Cbor.Malformed;
+import io.violetrail.wire.CloudWire;
+import java.util.Collection;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+/** The cloud's client, within this controller's part of the shared rate. */
+public final class CloudClient {
+  private static final double TIMEOUT_S = 5;
+
+  private final Http http;
+  private final Settings settings;
+  private final Loop loop;
+  private final Budget budget;
+
+  public CloudClient(Loop loop, Http http, Settings settings) {
+    this.loop = loop;
+    this.http = http;
+    this.settings = settings;
+    double rate = settings.cloudLimits().rps() * 0.9 / (settings.peers().size() + 1);
+    this.budget = new Budget(rate, Math.max(1, rate * 2), loop.seconds());
+  }
+
+  /** What a rental request came to. */
+  public enum Rental {
+    DONE,
+    NO_CAPACITY,
+    UNCERTAIN
+  }
+
+  /** A rental request's answer. */
+  public record Hired(Rental rental, List<MachineId> machines) {}
+
+  /** Whether a call may be made now; takes it from the budget. */
+  public boolean mayCall() {
+    return budget.take(1, loop.seconds());
+  }
+
+  public CompletableFuture<List<MachineType>> types() {
+    return call("GET", "/flavors", null)
+        .thenApply(
+            r -> {
+              try {
+                return CloudWire.types(Cbor.parse(r.body()));
+              } catch (Malformed e) {
+                throw new IllegalStateException(e);
+              }
+            });
+  }
+
+  public CompletableFuture<Hired> hire(String name, String type, String zone, boolean spot, int count) {
+    return http.call(settings.cloud(), "POST", "/hosts", Cbor.bytes(CloudWire.hire(name, type, zone, spot, count)), TIMEOUT_S)
+        .handle(
+            (r, failure) -> {
+              try {
+                if (failure == null && r.ok()) {
+                  return new Hired(Rental.DONE, CloudWire.hired(Cbor.parse(r.body())));
+                }
+                if (failure == null && (r.status() == 400 || r.status() == 503 && noCapacity(Cbor.parse(r.body())))) {
+                  return new Hired(Rental.NO_CAPACITY, List.of());
+                }
+              } catch (Malformed e) {
+                // Nothing certain was said.
+              }
+              return new Hired(Rental.UNCERTAIN, List.of());
+            });
+  }
+
+  private static boolean noCapacity(ObjectNode m) {
+    return "no capacity".equals(m.path("error").asText());
+  }
+
+  /** True once the machines are gone for certain. */
+  public CompletableFuture<Boolean> giveBack(Collection<MachineId> machines) {
+    return http.call(settings.cloud(), "POST", "/hosts/return", Cbor.bytes(CloudWire.giveBack(machines)), TIMEOUT_S).handle((r, failure) -> failure == null && r.ok());
+  }
+
+  private CompletableFuture<Http.Reply> call(String method, String path, byte[] body) {
+    return http.call(settings.cloud(), method, path, body, TIMEOUT_S)
+        .thenApply(
+            r -> {
+              if (!r.ok()) {
+                throw new IllegalStateException("the cloud answered " + r.status());
+              }
+              return r;
+            });
+  }
+}
--- /dev/null
+++ b/src/main/java/io/violetrail/fleet/Machine.java
@@ -0,0 +1,101 @@
+package io.violetrail.fleet;
+
+import io.violetrail.model.Amounts;
+import io.violetrail.model.MachineId;
+import io.violetrail.model.MachineType;
+import io.violetrail.model.TaskId;
+import io.violetrail.model.Version;
+import io.violetrail.ownership.Rows.MachineRow;
+import io.violetrail.scheduling.Placement;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+
+/** A machine of an entity that this controller owns. */
+public final class Machine {
+  public MachineRow row;
+  public final MachineType type;
+
+  /** The version under which this controller's hold on the machine began; older reports prove no absence. */
+  public final Version since;
+
+  public final Map<TaskId, Placement> tasks = new LinkedHashMap<>();
+  public final Set<String> images = new HashSet<>();
+
+  /** Tasks of jobs that are over, or that nobody knows, seen here: they count until they are gone. */
+  public final Map<TaskId, Amounts> strays = new HashMap<>();
+
+  public long session;
+  public long seq;
+
+  /** It reported under our term, so what it holds is known. */
+  public boolean heard;
+
+  /** Until then, an unheard machine may hold any task. */
+  public double unheardGoneS;
+
+  public double heardS;
+  public double answeredS;
+  public double rentedS;
+  public double idleSinceS;
+  public Double noticeS;
+  public boolean draining;
+  public boolean returning;
+  public boolean silent;
+
+  /** Promised to another entity until then; nothing starts here meanwhile. */
+  public boolean promised;
+
+  public boolean marking;
+  public int failures;
+  public final Set<Object> failedJobs = new HashSet<>();
+
+  public Machine(MachineRow row, MachineType type, Version since, double now) {
+    this.row = row;
+    this.type = type;
+    this.since = since;
+    this.rentedS = now;
+    this.idleSinceS = now;
+    this.heardS = now;
+    this.answeredS = now;
+    this.heard = !row.up();
+  }
+
+  public MachineId id() {
+    return row.id();
+  }
+
+  public Amounts room() {
+    double cpus = type.size().cpus();
+    double gpus = type.size().gpus();
+    double memory = type.size().memoryGb();
+    for (Placement p : tasks.values()) {
+      Amounts a = p.job.spec.task();
+      cpus -= a.cpus();
+      gpus -= a.gpus();
+      memory -= a.memoryGb();
+    }
+    for (Amounts a : strays.values()) {
+      cpus -= a.cpus();
+      gpus -= a.gpus();
+      memory -= a.memoryGb();
+    }
+    return new Amounts(cpus, gpus, memory);
+  }
+
+  /** Whether new tasks may be decided for this machine. */
+  public boolean open() {
+    return row.up() && heard && !draining && !returning && !silent && !promised && noticeS == null;
+  }
+
+  public boolean empty() {
+    return tasks.isEmpty() && strays.isEmpty();
+  }
+
+  /** Whether it may still hold a task that this controller does not know of. */
+  public boolean uncertain(double now) {
+    return !heard && now < unheardGoneS;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/violetrail/node/Node.java
@@ -0,0 +1,289 @@
+package io.violetrail.node;
+
+import io.violetrail.api.Jobs;
+import io.violetrail.api.UserApi;
+import io.violetrail.cloud.CloudClient;
+import io.violetrail.config.Options;
+import io.violetrail.config.Settings;
+import io.violetrail.fleet.Fleet;
+import io.violetrail.fleet.Machine;
+import io.violetrail.model.ControllerId;
+import io.violetrail.model.JobView;
+import io.violetrail.model.MachineType;
+import io.violetrail.model.Version;
+import io.violetrail.net.Http;
+import io.violetrail.net.Loop;
+import io.violetrail.net.Service;
+import io.violetrail.ownership.Directory;
+import io.violetrail.ownership.Holding;
+import io.violetrail.ownership.Membership;
+import io.violetrail.ownership.Rows;
+import io.violetrail.ownership.Rows.MachineRow;
+import io.violetrail.ownership.Timing;
+import io.violetrail.peer.Peers;
+import io.violetrail.scheduling.Dispatcher;
+import io.violetrail.state.StateStore;
+import io.violetrail.wire.CloudWire;
+import io.violetrail.wire.Cbor.Malformed;
+import io.violetrail.wire.StateWire.Change;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One controller: its parts, and what happens when entities come and go. */
+public final class Node implements Membership.Listener {
+  private static final Logger LOG = LoggerFactory.getLogger(Node.class);
+
+  public final Settings settings;
+  public final Options options;
+  public final Loop loop;
+  public final Random random;
+  public final Timing timing;
+  public final StateStore store;
+  public final Directory directory;
+  public final Membership membership;
+  public final Jobs jobs;
+  public final Dispatcher dispatcher;
+  public final Fleet fleet;
+  public final UserApi api;
+  public final Peers peers;
+
+  private final Map<String, MachineType> types = new HashMap<>();
+  private Object typesFrom;
+
+  public Node(Settings settings, Options options, Loop loop, Http http, Random random) {
+    this.settings = settings;
+    this.options = options;
+    this.loop = loop;
+    this.random = random;
+    this.timing = Timing.of(settings, options.lapseS());
+    this.store = new StateStore(loop, http, settings);
+    this.directory = new Directory(settings);
+    this.membership = new Membership(settings, loop, store, directory, timing, this);
+    this.jobs = new Jobs(this);
+    this.dispatcher = new Dispatcher(this);
+    this.peers = new Peers(this, http);
+    this.fleet = new Fleet(this, new CloudClient(loop, http, settings));
+    this.api = new UserApi(this, jobs);
+  }
+
+  public Service peerService() {
+    return peers;
+  }
+
+  public void start() {
+    membership.start();
+    dispatcher.start();
+    fleet.start();
+  }
+
+  /** The type as last told by the cloud or stored by a controller; null if not known. */
+  public MachineType type(String name) {
+    types();
+    return types.get(name);
+  }
+
+  public Map<String, MachineType> types() {
+    if (directory.types() != null && directory.types() != typesFrom) {
+      typesFrom = directory.types();
+      try {
+        List<MachineType> all = CloudWire.types(directory.types());
+        types.clear();
+        all.forEach(t -> types.put(t.name(), t));
+      } catch (Malformed e) {
+        LOG.error("the stored machine types cannot be read: {}", e.getMessage());
+      }
+    }
+    return types;
+  }
+
+  public void typesAre(List<MachineType> all) {
+    types.clear();
+    all.forEach(t -> types.put(t.name(), t));
+  }
+
+  /** A row of this controller's own writing, known before the watch brings it. */
+  public void learned(MachineRow row) {
+    directory.apply(new Change(Rows.machine(row.id()), Rows.value(row), row.stamp()));
+  }
+
+  /** The machine of a held entity; null while its type is not known. */
+  public Machine machine(Holding h, MachineRow row) {
+    Machine m = h.machines.get(row.id());
+    if (m != null) {
+      return m;
+    }
+    return add(h, row, loop.seconds() + timing.goneAfterSeizureS());
+  }
+
+  private Machine add(Holding h, MachineRow row, double unheardGoneS) {
+    MachineType type = type(row.type());
+    if (type == null) {
+      return null;
+    }
+    Version since = h.row.version().compareTo(row.term()) >= 0 ? h.row.version() : row.term();
+    Machine m = new Machine(row, type, since, loop.seconds());
+    m.unheardGoneS = unheardGoneS;
+    m.rentedS = loop.seconds() - Math.max(0, loop.wallMillis() - row.rentedMs()) / 1000.0;
+    h.machines.put(row.id(), m);
+    return m;
+  }
+
+  /** Records that a machine has reported, before anything may be launched on it. */
+  public void markUp(Holding h, Machine m) {
+    if (m.marking || !h.active() || !membership.valid()) {
+      return;
+    }
+    m.marking = true;
+    rewrite(h, m, m.row.nowUp(0), () -> m.marking = false);
+  }
+
+  /** The worker has seen a higher token than ours: its term is raised above that. */
+  public void raiseTerm(Holding h, Machine m, Version seen) {
+    if (m.marking || !h.active() || !membership.valid()) {
+      return;
+    }
+    m.marking = true;
+    Version term = seen.nextFor(h.row.version().owner());
+    LOG.info("machine {} has seen {}: its term becomes {}", m.id(), seen, term);
+    MachineRow r = m.row;
+    rewrite(h, m, new MachineRow(r.id(), r.entity(), r.type(), r.zone(), r.spot(), r.up(), term, r.rentedMs(), 0), () -> m.marking = false);
+  }
+
+  private void rewrite(Holding h, Machine m, MachineRow next, Runnable after) {
+    store
+        .settle(h.fenced().when(Rows.machine(m.id()), m.row.stamp()).set(Rows.machine(m.id()), Rows.value(next)))
+        .whenComplete(
+            (outcome, failure) -> {
+              after.run();
+              if (failure == null && outcome.applied()) {
+                m.row = next.stamped(outcome.revision());
+                learned(m.row);
+                dispatcher.wake();
+              } else {
+                membership.suspect();
+              }
+            });
+  }
+
+  /** Removes a machine that the cloud has taken back for sure. */
+  public void removed(Holding h, Machine m) {
+    for (var p : List.copyOf(m.tasks.values())) {
+      h.unplace(p, loop.seconds());
+    }
+    h.machines.remove(m.id());
+    dispatcher.wake();
+  }
+
+  @Override
+  public void gained(Holding h) {
+    peers.announce();
+    load(h);
+  }
+
+  private void load(Holding h) {
+    if (h.phase != Holding.Phase.LOADING) {
+      return;
+    }
+    var open = store.list(Rows.openJobs(h.entity()));
+    var hires = store.list(Rows.hires(h.entity()));
+    // Rows of machines as of after the move: from here on only this owner changes them.
+    var common = store.list(Rows.COMMON);
+    open.thenCombine(hires, (o, i) -> o)
+        .thenCombine(common, (o, c) -> c)
+        .whenComplete(
+            (listing, failure) -> {
+              if (failure != null) {
+                loop.after(0.5, () -> load(h));
+                return;
+              }
+              directory.replace(listing.entries(), listing.revision());
+              if (h.phase != Holding.Phase.LOADING) {
+                return;
+              }
+              if (!activate(h)) {
+                loop.after(0.3, () -> load(h));
+                return;
+              }
+              jobs.load(h, open.join().entries());
+              fleet.resume(h, hires.join().entries());
+              LOG.info("entity {} version {} active: {} jobs, {} machines", h.entity(), h.row.version(), h.jobs.size(), h.machines.size());
+              dispatcher.wake();
+            });
+  }
+
+  private boolean activate(Holding h) {
+    double now = loop.seconds();
+    double gone = Math.max(h.gainedS + (h.calm ? timing.goneAfterAnswerS() : timing.goneAfterSeizureS()), now + timing.goneAfterAnswerS());
+    for (MachineRow row : directory.machinesOf(h.entity())) {
+      if (add(h, row, gone) == null) {
+        h.machines.clear();
+        LOG.info("entity {} waits for the machine types", h.entity());
+        return false;
+      }
+    }
+    h.phase = Holding.Phase.ACTIVE;
+    return true;
+  }
+
+  @Override
+  public void lost(Holding h) {
+    peers.announce();
+  }
+
+  /** The common rows have changed: machines may have been passed over to an entity held here. */
+  @Override
+  public void changed() {
+    for (Holding h : membership.holdings()) {
+      if (!h.active()) {
+        continue;
+      }
+      for (MachineRow row : directory.machinesOf(h.entity())) {
+        if (!h.machines.containsKey(row.id())) {
+          Machine m = add(h, row, loop.seconds());
+          if (m != null) {
+            // A machine is passed over empty, so it hides nothing.
+            m.heard = true;
+            LOG.info("machine {} joins entity {} with term {}", row.id(), h.entity(), m.since);
+            dispatcher.wake();
+          }
+        }
+      }
+    }
+  }
+
+  @Override
+  public void askBack(ControllerId owner) {
+    peers.askBack(owner);
+  }
+
+  /** Whether requests of users can be taken: the own entity is here, and its lease at most lapsing. */
+  public boolean ready() {
+    Holding own = membership.own();
+    return own != null && own.active() && membership.mayKeepAlive() && !types().isEmpty();
+  }
+
+  /** The view of a job that is open at an entity held here; null if it is not. */
+  public JobView openView(io.violetrail.model.JobId id) {
+    for (Holding h : membership.holdings()) {
+      var job = h.active() ? h.jobs.get(id) : null;
+      if (job != null) {
+        return job.view();
+      }
+    }
+    return null;
+  }
+
+  /** The held entity that has the job open; null if there is none. */
+  public Holding holdingOf(io.violetrail.model.JobId id) {
+    for (Holding h : membership.holdings()) {
+      if (h.active() && h.jobs.containsKey(id)) {
+        return h;
+      }
+    }
+    return null;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/violetrail/peer/Peers.java
@@ -0,0 +1,176 @@
+package io.violetrail.peer;
+
+import com.esotericsoftware.kryo.Kryo;
+import com.esotericsoftware.kryo.KryoException;
+import com.esotericsoftware.kryo.io.Input;
+import com.esotericsoftware.kryo.io.Output;
+import io.violetrail.config.Settings.HostPort;
+import io.violetrail.model.ControllerId;
+import io.violetrail.model.JobId;
+import io.violetrail.model.JobView;
+import io.violetrail.model.Version;
+import io.violetrail.net.Http;
+import io.violetrail.net.Service;
+import io.violetrail.node.Node;
+import io.violetrail.ownership.Holding;
+import io.violetrail.state.StateStore.Unavailable;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** What controllers say to each other: Kryo messages over HTTP. All of it may fail without harm. */
+public final class Peers implements Service {
+  private static final Logger LOG = LoggerFactory.getLogger(Peers.class);
+  private static final double TIMEOUT_S = 1.2;
+  private static final String PATH = "/peer";
+  private static final int MAX_MESSAGE = 64 * 1024;
+
+  private final Node node;
+  private final Http http;
+  private Kryo kryo;
+
+  public Peers(Node node, Http http) {
+    this.node = node;
+    this.http = http;
+  }
+
+  /** What is asked. */
+  public enum Kind {
+    VIEW,
+    CANCEL,
+    HAND_BACK,
+    MOVED
+  }
+
+  /** A question about a job or an entity. */
+  public record Question(Kind kind, String from, String subject, long number) {}
+
+  /** An answer: whether it is known, and a job's state. */
+  public record Reply(boolean known, String status, int done, int running) {
+    static final Reply UNKNOWN = new Reply(false, "", 0, 0);
+  }
+
+  private Kryo kryo() {
+    if (kryo == null) {
+      kryo = new Kryo();
+      kryo.setRegistrationRequired(true);
+      kryo.setReferences(false);
+      kryo.setMaxDepth(8);
+      kryo.register(Kind.class);
+      kryo.register(Question.class);
+      kryo.register(Reply.class);
+    }
+    return kryo;
+  }
+
+  private byte[] bytes(Object message) {
+    Output out = new Output(256, MAX_MESSAGE);
+    kryo().writeObject(out, message);
+    return out.toBytes();
+  }
+
+  private <T> T read(byte[] bytes, Class<T> type) {
+    return kryo().readObject(new Input(bytes), type);
+  }
+
+  /** Asks the owner of a job for its current state, or to cancel it. */
+  public CompletableFuture<JobView> ask(ControllerId owner, JobId id, boolean cancel) {
+    return call(owner, new Question(cancel ? Kind.CANCEL : Kind.VIEW, node.settings.self().value(), id.value(), 0), cancel ? 3 : TIMEOUT_S)
+        .thenApply(
+            r -> {
+              if (!r.known()) {
+                throw new Unavailable("the owner does not know", 404);
+              }
+              return new JobView(id.value(), JobView.Status.valueOf(r.status()), r.done(), r.running());
+            });
+  }
+
+  public void askBack(ControllerId owner) {
+    call(owner, new Question(Kind.HAND_BACK, node.settings.self().value(), node.settings.self().value(), 0), TIMEOUT_S);
+  }
+
+  /** Tells all peers what this controller holds, so that a former owner in doubt stops at once. */
+  public void announce() {
+    node.membership
+        .versions()
+        .forEach(
+            (entity, version) ->
+                node.settings.peers().keySet().forEach(p -> call(p, new Question(Kind.MOVED, node.settings.self().value(), entity, version), TIMEOUT_S)));
+  }
+
+  private CompletableFuture<Reply> call(ControllerId to, Question question, double timeoutS) {
+    HostPort address = node.settings.peers().get(to);
+    if (address == null) {
+      return CompletableFuture.failedFuture(new Unavailable("no such peer", 404));
+    }
+    return http.call(address, "POST", PATH, bytes(question), timeoutS)
+        .thenApply(
+            r -> {
+              if (!r.ok()) {
+                throw new Unavailable("the peer answered " + r.status(), r.status());
+              }
+              try {
+                return read(r.body(), Reply.class);
+              } catch (KryoException e) {
+                throw new Unavailable("the peer's answer is unclear", 0);
+              }
+            });
+  }
+
+  @Override
+  public void handle(String method, String path, byte[] body, Consumer<Answer> done) {
+    if (!PATH.equals(path) || !"POST".equals(method)) {
+      done.accept(Answer.empty(404));
+      return;
+    }
+    Question q;
+    try {
+      q = read(body, Question.class);
+    } catch (KryoException e) {
+      LOG.info("a peer's message is unclear: {}", e.getMessage());
+      done.accept(Answer.empty(400));
+      return;
+    }
+    Consumer<Reply> reply = r -> done.accept(new Answer(200, bytes(r), 0, "application/octet-stream"));
+    switch (q.kind()) {
+      case VIEW -> reply.accept(view(new JobId(q.subject())));
+      case CANCEL -> cancel(new JobId(q.subject()), reply);
+      case HAND_BACK -> {
+        Holding h = node.membership.holding(new ControllerId(q.subject()));
+        if (h != null && q.subject().equals(q.from())) {
+          node.membership.release(h, new ControllerId(q.from()));
+        }
+        reply.accept(Reply.UNKNOWN);
+      }
+      case MOVED -> {
+        node.membership.told(new ControllerId(q.subject()), new Version(q.number()));
+        reply.accept(Reply.UNKNOWN);
+      }
+    }
+  }
+
+  private Reply view(JobId id) {
+    JobView view = node.jobs.terminalView(id);
+    if (view == null && node.membership.valid()) {
+      view = node.openView(id);
+    }
+    return view == null ? Reply.UNKNOWN : reply(view);
+  }
+
+  private static Reply reply(JobView v) {
+    return new Reply(true, v.status().name(), v.done(), v.running());
+  }
+
+  private void cancel(JobId id, Consumer<Reply> reply) {
+    JobView view = node.jobs.terminalView(id);
+    Holding h = node.holdingOf(id);
+    if (view != null) {
+      reply.accept(reply(view));
+    } else if (h == null || !node.membership.valid()) {
+      reply.accept(Reply.UNKNOWN);
+    } else {
+      node.jobs.cancel(h, h.jobs.get(id)).whenComplete((v, failure) -> reply.accept(failure == null ? reply(v) : Reply.UNKNOWN));
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/violetrail/state/StateStore.java
@@ -0,0 +1,230 @@
+package io.violetrail.state;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.violetrail.config.Settings;
+import io.violetrail.net.Budget;
+import io.violetrail.net.Http;
+import io.violetrail.net.Loop;
+import io.violetrail.wire.Cbor;
+import io.violetrail.wire.Cbor.Malformed;
+import io.violetrail.wire.StateWire;
+import io.violetrail.wire.StateWire.Entry;
+import io.violetrail.wire.StateWire.Outcome;
+import io.violetrail.wire.StateWire.Txn;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+
+/**
+ * The state service's client, within this controller's part of the shared budget.
+ *
+ * <p>Reads and plain transactions fail at once when the part is used up; renewals always go.
+ */
+public final class StateStore {
+  /** Two timeouts fit into a user's patience of 5 s. */
+  private static final double TIMEOUT_S = 1.5;
+
+  private static final double RETRY_S = 0.3;
+  private static final int PAGE = 500;
+
+  private final Loop loop;
+  private final Http http;
+  private final Settings settings;
+  private final Budget requests;
+  private final Budget writes;
+
+  public StateStore(Loop loop, Http http, Settings settings) {
+    this.loop = loop;
+    this.http = http;
+    this.settings = settings;
+    int nodes = settings.peers().size() + 1;
+    // A fifth is left unused, since a takeover and late requests of a dead controller come on top.
+    double share = 0.8 / nodes;
+    this.requests = new Budget(settings.stateLimits().rps() * share, settings.stateLimits().rps() * share, loop.seconds());
+    this.writes = new Budget(settings.stateLimits().writeRps() * share, settings.stateLimits().writeRps() * share, loop.seconds());
+  }
+
+  /** The service said no, or said nothing. */
+  public static final class Unavailable extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+    private final int status;
+
+    public Unavailable(String why, int status) {
+      super(why, null, false, false);
+      this.status = status;
+    }
+
+    /** The cause of a failed future, whatever it is wrapped in. */
+    public static Unavailable of(Throwable failure) {
+      Throwable t = failure instanceof java.util.concurrent.CompletionException ? failure.getCause() : failure;
+      return t instanceof Unavailable u ? u : new Unavailable(String.valueOf(t), 0);
+    }
+
+    /** Certainly not carried out, now or later. */
+    public boolean refused() {
+      return status != 0;
+    }
+
+    public int status() {
+      return status;
+    }
+  }
+
+  /** A whole listing with the revision it is as of. */
+  public record Listing(List<Entry> entries, long revision) {}
+
+  public CompletableFuture<Entry> get(String key) {
+    if (!requests.take(1, loop.seconds())) {
+      return busy();
+    }
+    return call("GET", "/keys/" + key, null, TIMEOUT_S)
+        .thenApply(
+            r -> {
+              if (r.status() == 404) {
+                return new Entry(key, null, 0);
+              }
+              return StateWire.entry(body(r));
+            });
+  }
+
+  public CompletableFuture<Listing> list(String prefix) {
+    CompletableFuture<Listing> done = new CompletableFuture<>();
+    page(prefix, "", new ArrayList<>(), done);
+    return done;
+  }
+
+  private void page(String prefix, String after, List<Entry> all, CompletableFuture<Listing> done) {
+    requests.force(1, loop.seconds());
+    String path = "/keys?under=" + prefix + "&most=" + PAGE + (after.isEmpty() ? "" : "&after=" + after);
+    call("GET", path, null, TIMEOUT_S * 2)
+        .whenComplete(
+            (r, failure) -> {
+              if (failure != null || !r.ok()) {
+                done.completeExceptionally(failure != null ? failure : new Unavailable("list", r.status()));
+                return;
+              }
+              ObjectNode m = body(r);
+              List<Entry> page = StateWire.entries(m);
+              all.addAll(page);
+              if (StateWire.more(m) && !page.isEmpty()) {
+                page(prefix, page.get(page.size() - 1).key(), all, done);
+              } else {
+                done.complete(new Listing(all, StateWire.revision(m)));
+              }
+            });
+  }
+
+  /** One try of a transaction. */
+  public CompletableFuture<Outcome> txn(Txn txn) {
+    double now = loop.seconds();
+    if (!requests.take(1, now) || !writes.take(txn.writes(), now)) {
+      return busy();
+    }
+    return send(txn);
+  }
+
+  /**
+   * Repeats a conditional transaction until it is certain whether it was applied. The conditions
+   * must be such that it cannot apply twice: each set key is among them. An outcome of "not
+   * applied" can then mean that an earlier try was; the caller reads to find out.
+   */
+  public CompletableFuture<Outcome> settle(Txn txn) {
+    CompletableFuture<Outcome> done = new CompletableFuture<>();
+    attempt(txn, done);
+    return done;
+  }
+
+  private void attempt(Txn txn, CompletableFuture<Outcome> done) {
+    txn(txn)
+        .whenComplete(
+            (outcome, failure) -> {
+              if (failure == null) {
+                done.complete(outcome);
+              } else if (Unavailable.of(failure).status() == 400) {
+                done.completeExceptionally(failure);
+              } else {
+                loop.after(RETRY_S, () -> attempt(txn, done));
+              }
+            });
+  }
+
+  /** A transaction that renewals and moves depend on: sent whatever the budget says. */
+  public CompletableFuture<Outcome> urgent(Txn txn) {
+    requests.force(1, loop.seconds());
+    writes.force(txn.writes(), loop.seconds());
+    return send(txn);
+  }
+
+  private CompletableFuture<Outcome> send(Txn txn) {
+    byte[] bytes = txn.bytes();
+    return call("POST", "/txn", bytes, TIMEOUT_S)
+        .thenApply(
+            r -> {
+              if (r.status() == 409) {
+                return StateWire.outcome(false, body(r));
+              }
+              if (!r.ok()) {
+                throw new Unavailable("txn answered " + r.status(), r.status());
+              }
+              return StateWire.outcome(true, body(r));
+            });
+  }
+
+  public CompletableFuture<Long> lease(double ttlS) {
+    requests.force(1, loop.seconds());
+    return call("POST", "/leases", Cbor.bytes(StateWire.lease(Math.round(ttlS * 1000))), TIMEOUT_S).thenApply(r -> StateWire.leaseId(body(r)));
+  }
+
+  /** True if renewed, false if the lease has ended. */
+  public CompletableFuture<Boolean> renew(long lease) {
+    requests.force(1, loop.seconds());
+    return call("POST", "/leases/" + lease + "/renew", Cbor.bytes(Cbor.map()), TIMEOUT_S).thenApply(r -> r.ok());
+  }
+
+  /** Watches a prefix: the answer's body, or null if the revision is too old. */
+  public void watch(String prefix, long after, double waitS, Consumer<ObjectNode> changed, Consumer<Boolean> failed) {
+    requests.force(1, loop.seconds());
+    http.call(settings.state(), "GET", "/changes?under=" + prefix + "&after=" + after + "&block_ms=" + Math.round(waitS * 1000), null, waitS + 3)
+        .whenComplete(
+            (r, failure) -> {
+              if (failure == null && r.ok()) {
+                try {
+                  changed.accept(Cbor.parse(r.body()));
+                  return;
+                } catch (Malformed e) {
+                  // Treated like any other failure.
+                }
+              }
+              failed.accept(failure == null && r.status() == 410);
+            });
+  }
+
+  private CompletableFuture<Http.Reply> call(String method, String path, byte[] body, double timeoutS) {
+    CompletableFuture<Http.Reply> done = new CompletableFuture<>();
+    http.call(settings.state(), method, path, body, timeoutS)
+        .whenComplete(
+            (r, failure) -> {
+              if (failure != null) {
+                done.completeExceptionally(new Unavailable("state service: " + failure.getMessage(), 0));
+              } else if (r.status() == 200 || r.status() == 404 || r.status() == 409) {
+                done.complete(r);
+              } else {
+                done.completeExceptionally(new Unavailable("state service answered " + r.status(), r.status()));
+              }
+            });
+    return done;
+  }
+
+  private <T> CompletableFuture<T> busy() {
+    return CompletableFuture.failedFuture(new Unavailable("the budget is used up", 429));
+  }
+
+  private static ObjectNode body(Http.Reply r) {
+    try {
+      return Cbor.parse(r.body());
+    } catch (Malformed e) {
+      throw new Unavailable("the state service's answer is unclear", 0);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/violetrail/wire/BeatWire.java
@@ -0,0 +1,116 @@
+package io.violetrail.wire;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.violetrail.model.MachineId;
+import io.violetrail.model.TaskId;
+import io.violetrail.model.Version;
+import io.violetrail.wire.Cbor.Malformed;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** The workers' messages. */
+public final class BeatWire {
+  private BeatWire() {}
+
+  /** A worker's report. {@code noticeS} is null without a spot notice. */
+  public record Beat(
+      MachineId machine, String endpoint, String type, String zone, boolean spot, long session, long seq, Version token,
+      Double noticeS, List<Piece> pieces) {
+    public boolean newerThan(long otherSession, long otherSeq) {
+      return session > otherSession || session == otherSession && seq > otherSeq;
+    }
+  }
+
+  /** One task as a worker sees it. {@code why} is null unless it has ended. */
+  public record Piece(TaskId task, long attempt, State state, Why why, boolean saved) {}
+
+  /** A task's state on its machine. */
+  public enum State {
+    FETCHING,
+    WAITING,
+    RUNNING,
+    SAVING,
+    EXITED
+  }
+
+  /** Why a task ended. */
+  public enum Why {
+    DONE,
+    STOPPED,
+    PEERS_GONE,
+    INCOMPLETE,
+    ERROR,
+    NO_ROOM,
+    BUSY,
+    UNKNOWN
+  }
+
+  /** A command. */
+  public record Order(Verb verb, TaskId task, long attempt, double graceS) {
+    /** What a worker can be told. */
+    public enum Verb {
+      LAUNCH,
+      HALT,
+      FORGET
+    }
+  }
+
+  private static final Map<String, State> STATES =
+      Map.of("fetching", State.FETCHING, "gathering", State.WAITING, "running", State.RUNNING, "flushing", State.SAVING, "ended", State.EXITED);
+  private static final Map<String, Why> WHYS =
+      Map.of(
+          "done", Why.DONE, "halted", Why.STOPPED, "mates_gone", Why.PEERS_GONE, "incomplete", Why.INCOMPLETE, "error", Why.ERROR,
+          "no_room", Why.NO_ROOM, "in_use", Why.BUSY, "unknown", Why.UNKNOWN);
+
+  public static Beat beat(JsonNode m) throws Malformed {
+    List<Piece> pieces = new ArrayList<>();
+    JsonNode list = Cbor.present(m, "pieces");
+    if (list != null) {
+      for (JsonNode p : list) {
+        pieces.add(piece(p));
+      }
+    }
+    Double notice = Cbor.present(m, "warning_s") == null ? null : (Double) m.get("warning_s").asDouble();
+    return new Beat(
+        new MachineId(Cbor.text(m, "host")), Cbor.textOr(m, "endpoint", ""), Cbor.text(m, "hosttype"), Cbor.text(m, "yard"),
+        Cbor.flag(m, "loaners"), Cbor.count(m, "tenure"), Cbor.count(m, "tick"),
+        new Version(Cbor.present(m, "baton") == null ? 0 : Cbor.count(m, "baton")), notice, pieces);
+  }
+
+  private static Piece piece(JsonNode p) throws Malformed {
+    TaskId task = TaskId.parse(Cbor.text(p, "piece"));
+    State state = STATES.get(Cbor.text(p, "status"));
+    if (task == null || state == null) {
+      throw new Malformed("a task of the report is unclear");
+    }
+    Why why = state == State.EXITED ? WHYS.getOrDefault(Cbor.textOr(p, "cause", "error"), Why.ERROR) : null;
+    JsonNode kept = Cbor.present(p, "kept");
+    return new Piece(task, Cbor.count(p, "try"), state, why, kept != null && kept.asBoolean());
+  }
+
+  public static ObjectNode reply(Version token, List<Order> orders) {
+    ObjectNode m = Cbor.map().put("baton", token.value());
+    var list = m.putArray("orders");
+    for (Order o : orders) {
+      var node = list.addObject();
+      node.put("verb", switch (o.verb()) {
+        case LAUNCH -> "launch";
+        case HALT -> "halt";
+        case FORGET -> "forget";
+      });
+      node.put("piece", o.task().toString()).put("try", o.attempt());
+      if (o.verb() == Order.Verb.HALT) {
+        node.put("wind_down_s", o.graceS());
+      }
+    }
+    return m;
+  }
+
+  /** Tells a worker to report elsewhere; {@code owner} may be null. */
+  public static ObjectNode elsewhere(String owner) {
+    ObjectNode m = Cbor.map();
+    return owner == null ? m : m.put("master", owner);
+  }
+}
--- /dev/null
+++ b/src/main/java/io/violetrail/wire/StateWire.java
@@ -0,0 +1,100 @@
+package io.violetrail.wire;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/** The state service's messages. */
+public final class StateWire {
+  private StateWire() {}
+
+  /** A key with its value and the revision of its last change; absent: null value and stamp 0. */
+  public record Entry(String key, JsonNode value, long stamp) {}
+
+  /** One change seen by a watch; a dropped key has a null value. */
+  public record Change(String key, JsonNode value, long stamp) {}
+
+  /** What a transaction came to. */
+  public record Outcome(boolean applied, long revision, Set<String> failed) {}
+
+  /** A transaction under construction. */
+  public static final class Txn {
+    private final ObjectNode body = Cbor.map();
+    private final ArrayNode conditions = body.putArray("if");
+    private final ArrayNode writes = body.putArray("writes");
+
+    public Txn when(String key, long stamp) {
+      conditions.addObject().put("key", key).put("stamp", stamp);
+      return this;
+    }
+
+    public Txn set(String key, JsonNode value) {
+      writes.addObject().put("set", key).set("v", value);
+      return this;
+    }
+
+    public Txn setHeld(String key, JsonNode value, long lease) {
+      ObjectNode w = writes.addObject().put("set", key);
+      w.set("v", value);
+      w.put("hold", lease);
+      return this;
+    }
+
+    public Txn drop(String key) {
+      writes.addObject().put("drop", key);
+      return this;
+    }
+
+    public int writes() {
+      return writes.size();
+    }
+
+    public byte[] bytes() {
+      return Cbor.bytes(body);
+    }
+  }
+
+  public static Entry entry(JsonNode m) {
+    return new Entry(m.path("key").asText(), m.get("v"), m.path("stamp").asLong());
+  }
+
+  public static List<Entry> entries(JsonNode m) {
+    List<Entry> all = new ArrayList<>();
+    m.path("entries").forEach(e -> all.add(entry(e)));
+    return all;
+  }
+
+  public static boolean more(JsonNode m) {
+    return m.path("truncated").asBoolean(false);
+  }
+
+  public static long revision(JsonNode m) {
+    return m.path("epoch").asLong();
+  }
+
+  public static Outcome outcome(boolean applied, JsonNode m) {
+    Set<String> failed = new HashSet<>();
+    m.path("failed").forEach(k -> failed.add(k.asText()));
+    return new Outcome(applied, revision(m), failed);
+  }
+
+  public static List<Change> changes(JsonNode m) {
+    List<Change> all = new ArrayList<>();
+    for (JsonNode e : m.path("log")) {
+      all.add(e.has("set") ? new Change(e.get("set").asText(), e.get("v"), e.path("stamp").asLong()) : new Change(e.path("drop").asText(), null, e.path("stamp").asLong()));
+    }
+    return all;
+  }
+
+  public static ObjectNode lease(long ttlMs) {
+    return Cbor.map().put("life_ms", ttlMs);
+  }
+
+  public static long leaseId(JsonNode m) {
+    return m.path("hold").asLong();
+  }
+}
--- /dev/null
+++ b/src/main/java/io/violetrail/worker/Beats.java
@@ -0,0 +1,264 @@
+package io.violetrail.worker;
+
+import io.violetrail.api.Jobs;
+import io.violetrail.node.Node;
+import io.violetrail.fleet.Machine;
+import io.violetrail.model.Amounts;
+import io.violetrail.model.ControllerId;
+import io.violetrail.model.TaskId;
+import io.violetrail.model.Version;
+import io.violetrail.net.Service.Answer;
+import io.violetrail.ownership.Holding;
+import io.violetrail.ownership.Rows;
+import io.violetrail.ownership.Rows.MachineRow;
+import io.violetrail.scheduling.Job;
+import io.violetrail.scheduling.Placement;
+import io.violetrail.wire.BeatWire;
+import io.violetrail.wire.BeatWire.Beat;
+import io.violetrail.wire.BeatWire.Order;
+import io.violetrail.wire.BeatWire.Order.Verb;
+import io.violetrail.wire.BeatWire.Piece;
+import io.violetrail.wire.BeatWire.State;
+import io.violetrail.wire.BeatWire.Why;
+import io.violetrail.wire.Cbor;
+import io.violetrail.wire.Cbor.Malformed;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Takes the workers' reports and answers with commands.
+ *
+ * <p>Launches travel in answers only. A worker has one report in flight and drops late answers, so
+ * its next report always shows whether a launch was taken: nothing is launched late.
+ */
+public final class Beats {
+  private static final Logger LOG = LoggerFactory.getLogger(Beats.class);
+
+  /** Keeps an answer below the protocol's 64 KiB. */
+  private static final int MAX_ORDERS = 400;
+
+  private final Node node;
+  private final Jobs jobs;
+
+  public Beats(Node node, Jobs jobs) {
+    this.node = node;
+    this.jobs = jobs;
+  }
+
+  public void handle(byte[] body, Consumer<Answer> done) {
+    Beat beat;
+    try {
+      beat = BeatWire.beat(Cbor.parse(body));
+    } catch (Malformed e) {
+      done.accept(Answer.error(400, e.getMessage()));
+      return;
+    }
+    MachineRow row = node.directory.machine(beat.machine());
+    if (row == null) {
+      adopt(beat, done);
+      return;
+    }
+    Holding holding = node.membership.holding(row.entity());
+    if (holding == null || holding.phase == Holding.Phase.RELEASING) {
+      ControllerId owner = node.directory.ownerOf(row.entity());
+      boolean elsewhere = owner != null && !owner.equals(node.settings.self()) && node.directory.isAlive(owner);
+      done.accept(Answer.of(421, BeatWire.elsewhere(elsewhere ? owner.value() : null)));
+      return;
+    }
+    if (!node.membership.mayKeepAlive()) {
+      done.accept(Answer.later("not entitled"));
+      return;
+    }
+    Machine machine = holding.active() ? node.machine(holding, row) : null;
+    if (machine == null) {
+      Version token = holding.row.version().compareTo(row.term()) >= 0 ? holding.row.version() : row.term();
+      done.accept(Answer.of(200, BeatWire.reply(token, List.of())));
+      return;
+    }
+    done.accept(report(holding, machine, beat));
+  }
+
+  /** A machine that no entity knows: taken into this controller's entity by a conditional write. */
+  private void adopt(Beat beat, Consumer<Answer> done) {
+    Holding own = node.membership.own();
+    if (own == null || !own.active() || !node.membership.valid() || node.type(beat.type()) == null) {
+      done.accept(Answer.of(421, BeatWire.elsewhere(null)));
+      return;
+    }
+    Version term = beat.token().compareTo(own.row.version()) > 0 ? beat.token().nextFor(own.row.version().owner()) : own.row.version();
+    MachineRow row =
+        new MachineRow(beat.machine(), own.entity(), beat.type(), beat.zone(), beat.spot(), true, term, node.loop.wallMillis(), 0);
+    node.store
+        .txn(own.fenced().when(Rows.machine(row.id()), 0).set(Rows.machine(row.id()), Rows.value(row)))
+        .whenComplete(
+            (outcome, failure) -> {
+              if (failure != null || !outcome.applied()) {
+                if (failure == null) {
+                  node.membership.suspect();
+                }
+                done.accept(Answer.of(421, BeatWire.elsewhere(null)));
+                return;
+              }
+              LOG.info("machine {} adopted by entity {} version {}", row.id(), own.entity(), term);
+              node.learned(row.stamped(outcome.revision()));
+              handleAgain(own, row.stamped(outcome.revision()), beat, done);
+            });
+  }
+
+  private void handleAgain(Holding holding, MachineRow row, Beat beat, Consumer<Answer> done) {
+    Machine machine = holding.active() && node.membership.valid() ? node.machine(holding, row) : null;
+    done.accept(machine == null ? Answer.of(421, BeatWire.elsewhere(null)) : report(holding, machine, beat));
+  }
+
+  private Answer report(Holding holding, Machine m, Beat beat) {
+    Version token = holding.token(m);
+    if (beat.token().compareTo(token) > 0) {
+      node.raiseTerm(holding, m, beat.token());
+      return Answer.of(421, BeatWire.elsewhere(null));
+    }
+    double now = node.loop.seconds();
+    m.heardS = now;
+    m.answeredS = now;
+    m.silent = false;
+    if (!beat.newerThan(m.session, m.seq)) {
+      return Answer.of(200, BeatWire.reply(token, List.of()));
+    }
+    boolean evidence = beat.token().compareTo(m.since) >= 0;
+    List<Order> orders = new ArrayList<>();
+    take(holding, m, beat, evidence, now, orders);
+    m.session = beat.session();
+    m.seq = beat.seq();
+    m.noticeS = beat.noticeS();
+    if (evidence) {
+      m.heard = true;
+    }
+    if (!m.row.up()) {
+      node.markUp(holding, m);
+    }
+    if (!node.membership.valid() || !holding.active()) {
+      return Answer.of(200, BeatWire.reply(token, List.of()));
+    }
+    node.dispatcher.drain(m);
+    command(m, now, orders);
+    node.dispatcher.wake();
+    return Answer.of(200, BeatWire.reply(token, orders.size() > MAX_ORDERS ? orders.subList(0, MAX_ORDERS) : orders));
+  }
+
+  /** Brings the picture of a machine in line with its newest report. */
+  private void take(Holding holding, Machine m, Beat beat, boolean evidence, double now, List<Order> orders) {
+    Set<TaskId> present = new HashSet<>();
+    Map<TaskId, Amounts> strays = new HashMap<>();
+    for (Piece piece : beat.pieces()) {
+      Job job = holding.jobs.get(piece.task().job());
+      if (job == null || piece.task().index() >= job.spec.tasks()) {
+        stray(holding, m, piece, strays, orders);
+      } else if (piece.state() == State.EXITED) {
+        exited(holding, m, job, piece, now, orders);
+      } else {
+        present.add(piece.task());
+        active(holding, m, job, piece, now);
+      }
+    }
+    m.strays.clear();
+    m.strays.putAll(strays);
+    if (!evidence) {
+      return;
+    }
+    for (Placement p : List.copyOf(m.tasks.values())) {
+      // Sent in the answer to an earlier report and not in this newer one: it was never taken, or is over.
+      if (!p.revocable() && !present.contains(p.task()) && m.tasks.get(p.task()) == p) {
+        LOG.debug("task {} try {} is no longer on {}", p.task(), p.attempt, m.id());
+        holding.unplace(p, now);
+      }
+    }
+  }
+
+  private void active(Holding holding, Machine m, Job job, Piece piece, double now) {
+    int index = piece.task().index();
+    Placement p = m.tasks.get(piece.task());
+    if (p != null && p.attempt != piece.attempt() && p.revocable()) {
+      holding.unplace(p, now);
+      p = null;
+    }
+    if (p == null || p.attempt != piece.attempt()) {
+      Placement elsewhere = job.placed.get(index);
+      if (elsewhere != null && elsewhere.machine != m) {
+        if (elsewhere.revocable()) {
+          holding.unplace(elsewhere, now);
+        } else {
+          LOG.error("task {} is on {} and on {}", piece.task(), m.id(), elsewhere.machine.id());
+        }
+      }
+      p = new Placement(job, index, m, piece.attempt(), now);
+      p.sent = new Placement.Sent(0, 0);
+      holding.place(p);
+    }
+    if (p.state != piece.state() && piece.state() == State.RUNNING) {
+      m.images.add(job.spec.image());
+    }
+    p.state = piece.state();
+    if (job.phase != Job.Phase.OPEN || job.done.get(index)) {
+      p.halt(0);
+    }
+  }
+
+  private void exited(Holding holding, Machine m, Job job, Piece piece, double now, List<Order> orders) {
+    int index = piece.task().index();
+    Placement p = m.tasks.get(piece.task());
+    boolean current = p != null && p.attempt == piece.attempt() && !p.revocable();
+    if (piece.why() == Why.DONE && !job.done.get(index)) {
+      job.done.set(index);
+      m.failures = 0;
+      m.failedJobs.clear();
+      m.images.add(job.spec.image());
+      job.failures = 0;
+    }
+    if (current) {
+      holding.unplace(p, now);
+      if (piece.why() != Why.DONE) {
+        node.dispatcher.failed(holding, m, job, index, piece.why());
+      }
+    }
+    if (job.done.get(index)) {
+      jobs.progressed(holding, job);
+      if (piece.why() == Why.DONE && !job.stored.get(index) && job.phase != Job.Phase.OVER) {
+        return;
+      }
+    }
+    orders.add(new Order(Verb.FORGET, piece.task(), piece.attempt(), 0));
+  }
+
+  /** A task of a job that is over, or that this owner has not loaded. */
+  private void stray(Holding holding, Machine m, Piece piece, Map<TaskId, Amounts> strays, List<Order> orders) {
+    Jobs.Known known = jobs.known(holding, piece.task().job());
+    if (piece.state() != State.EXITED) {
+      strays.put(piece.task(), known == null ? m.type.size() : known.amounts());
+      if (known != null) {
+        orders.add(new Order(Verb.HALT, piece.task(), piece.attempt(), 0));
+      }
+    } else if (known != null) {
+      orders.add(new Order(Verb.FORGET, piece.task(), piece.attempt(), 0));
+    }
+  }
+
+  private void command(Machine m, double now, List<Order> orders) {
+    for (Placement p : m.tasks.values()) {
+      if (p.revocable()) {
+        if (m.open() && orders.size() < MAX_ORDERS) {
+          orders.add(new Order(Verb.LAUNCH, p.task(), p.attempt, 0));
+          p.sent = new Placement.Sent(m.session, m.seq);
+          LOG.debug("task {} try {} launched on {}", p.task(), p.attempt, m.id());
+        }
+      } else if (p.haltGraceS >= 0 && (p.state != State.SAVING || p.haltGraceS == 0)) {
+        orders.add(new Order(Verb.HALT, p.task(), p.attempt, p.haltGraceS));
+      }
+    }
+  }
+}
