Ignore reports of unknown age: a cut machine's late report made a task run twice

Cause: a report held back by a cut arrived after the worker's lease was over; its task list was taken as fresh. Reports count only once their worker has seen the term of the present hold, and never from a session whose lease is surely over.

--- a/src/main/java/io/violetrail/fleet/Machine.java
+++ b/src/main/java/io/violetrail/fleet/Machine.java
@@ -30,6 +30,9 @@
   public long session;
   public long seq;
 
+  /** Reports of earlier sessions are leftovers: those sessions' leases are surely over. */
+  public long firstSession;
+
   /** It reported under our term, so what it holds is known. */
   public boolean heard;
 
--- a/src/main/java/io/violetrail/scheduling/Dispatcher.java
+++ b/src/main/java/io/violetrail/scheduling/Dispatcher.java
@@ -87,8 +87,10 @@
       }
     }
     boolean gone = m.heard ? now - m.answeredS > node.timing.goneAfterAnswerS() : now > m.unheardGoneS;
-    if (m.silent && gone && !m.tasks.isEmpty()) {
+    if (m.silent && gone && m.firstSession <= m.session) {
       LOG.info("machine {}: its worker's lease is over, and so are {} tasks", m.id(), m.tasks.size());
+      m.firstSession = m.session + 1;
+      m.strays.clear();
       for (Placement p : List.copyOf(m.tasks.values())) {
         h.unplace(p, now);
       }
--- a/src/main/java/io/violetrail/worker/Beats.java
+++ b/src/main/java/io/violetrail/worker/Beats.java
@@ -126,22 +126,27 @@
     double now = node.loop.seconds();
     m.heardS = now;
     m.answeredS = now;
-    m.silent = false;
     if (!beat.newerThan(m.session, m.seq)) {
       return Answer.of(200, BeatWire.reply(token, List.of()));
     }
-    boolean evidence = beat.token().compareTo(m.since) >= 0;
+    if (!m.row.up()) {
+      node.markUp(holding, m);
+    }
+    // A report may have been held back in the network for minutes. It is as old as it may be, unless
+    // its worker has seen our term, or its session has begun after a lease that is surely over.
+    if (beat.token().compareTo(m.since) < 0 || beat.session() < m.firstSession) {
+      if (!m.heard) {
+        m.unheardGoneS = Math.max(m.unheardGoneS, now + node.timing.goneAfterAnswerS());
+      }
+      return Answer.of(200, BeatWire.reply(token, List.of()));
+    }
     List<Order> orders = new ArrayList<>();
-    take(holding, m, beat, evidence, now, orders);
+    take(holding, m, beat, now, orders);
     m.session = beat.session();
     m.seq = beat.seq();
     m.noticeS = beat.noticeS();
-    if (evidence) {
-      m.heard = true;
-    }
-    if (!m.row.up()) {
-      node.markUp(holding, m);
-    }
+    m.heard = true;
+    m.silent = false;
     if (!node.membership.valid() || !holding.active()) {
       return Answer.of(200, BeatWire.reply(token, List.of()));
     }
@@ -152,7 +157,7 @@
   }
 
   /** Brings the picture of a machine in line with its newest report. */
-  private void take(Holding holding, Machine m, Beat beat, boolean evidence, double now, List<Order> orders) {
+  private void take(Holding holding, Machine m, Beat beat, double now, List<Order> orders) {
     Set<TaskId> present = new HashSet<>();
     Map<TaskId, Amounts> strays = new HashMap<>();
     for (Piece piece : beat.pieces()) {
@@ -163,14 +168,14 @@
         exited(holding, m, job, piece, now, orders);
       } else {
         present.add(piece.task());
-        active(holding, m, job, piece, now);
+        if (!active(holding, m, job, piece, now)) {
+          strays.put(piece.task(), job.spec.task());
+          orders.add(new Order(Verb.HALT, piece.task(), piece.attempt(), 0));
+        }
       }
     }
     m.strays.clear();
     m.strays.putAll(strays);
-    if (!evidence) {
-      return;
-    }
     for (Placement p : List.copyOf(m.tasks.values())) {
       // Sent in the answer to an earlier report and not in this newer one: it was never taken, or is over.
       if (!p.revocable() && !present.contains(p.task()) && m.tasks.get(p.task()) == p) {
@@ -180,7 +185,8 @@
     }
   }
 
-  private void active(Holding holding, Machine m, Job job, Piece piece, double now) {
+  /** False if the task is known to be on another machine. */
+  private boolean active(Holding holding, Machine m, Job job, Piece piece, double now) {
     int index = piece.task().index();
     Placement p = m.tasks.get(piece.task());
     if (p != null && p.attempt != piece.attempt() && p.revocable()) {
@@ -194,6 +200,7 @@
           holding.unplace(elsewhere, now);
         } else {
           LOG.error("task {} is on {} and on {}", piece.task(), m.id(), elsewhere.machine.id());
+          return false;
         }
       }
       p = new Placement(job, index, m, piece.attempt(), now);
@@ -207,6 +214,7 @@
     if (job.phase != Job.Phase.OPEN || job.done.get(index)) {
       p.halt(0);
     }
+    return true;
   }
 
   private void exited(Holding holding, Machine m, Job job, Piece piece, double now, List<Order> orders) {
