--- a/src/main/java/io/violetrail/api/Jobs.java
+++ b/src/main/java/io/violetrail/api/Jobs.java
@@ -87,7 +87,7 @@
                 }
                 Found found = found(id, entry);
                 if (found.absent() || found.openAt() != null && !found.openAt().equals(holding.entity())) {
-                  LOG.error("a worker of entity {} has a task of {}, which is not of this entity", holding.entity(), id);
+                  LOG.info("a worker of entity {} has a task of {}, which is not of this entity", holding.entity(), id);
                   if (found.absent()) {
                     terminal.put(id, new Known(null, holding.entity(), Amounts.NONE));
                   }
--- a/src/main/java/io/violetrail/fleet/Fleet.java
+++ b/src/main/java/io/violetrail/fleet/Fleet.java
@@ -21,6 +21,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -30,6 +31,8 @@
   private static final double TICK_S = 1;
   private static final double TYPES_S = 240;
   private static final double REFUSED_S = 20;
+  /** Cheap machines come back rarely, and asking uses up calls. */
+  private static final double REFUSED_SPOT_S = 75;
   private static final int MAX_BOOTING = 20;
 
   private final Node node;
@@ -43,6 +46,7 @@
 
   private double typesAtS = Double.NEGATIVE_INFINITY;
   private boolean returning;
+  private int tasteSeed;
 
   /** What can be rented. */
   public record Offer(String type, String zone, boolean spot) {}
@@ -75,6 +79,7 @@
   private void tick() {
     Loop loop = node.loop;
     double now = loop.seconds();
+    tasteSeed = node.random.nextInt();
     hires.values().removeIf(hire -> hire.holding.phase == Holding.Phase.LOST);
     refused.values().removeIf(until -> until < now);
     if (!node.membership.valid()) {
@@ -170,8 +175,9 @@
         .whenComplete(
             (outcome, failure) -> {
               if (failure != null || !outcome.applied()) {
-                node.membership.suspect();
+                node.membership.relistThen(() -> node.gone.remove(m.id()));
               } else {
+                node.gone.remove(m.id());
                 node.directory.apply(new io.violetrail.wire.StateWire.Change(Rows.machine(m.id()), null, outcome.revision()));
               }
             });
@@ -268,7 +274,7 @@
           if (!job.spec.allows(t.name(), zone, spot) || refused.containsKey(offer)) {
             continue;
           }
-          double cost = t.price(spot) * time / Math.min(fit, tasks) * (1 + 0.01 * node.random.nextDouble());
+          double cost = t.price(spot) * time / Math.min(fit, tasks) * (1 + 0.01 * taste(offer));
           if (cost < bestCost) {
             bestCost = cost;
             best = offer;
@@ -279,6 +285,11 @@
     return best;
   }
 
+  /** Between 0 and 1: an order of equal offers that lasts a while, so that requests for one gather. */
+  private double taste(Offer offer) {
+    return (Objects.hash(offer, tasteSeed) & 0xffff) / 65536.0;
+  }
+
   private void hire(Holding h, Offer offer, int count) {
     if (!cloud.mayCall()) {
       return;
@@ -323,7 +334,7 @@
               }
               LOG.info("entity {}: hire {} of {} {}: {}", hire.holding.entity(), hire.name, hire.count, o, hired.machines());
               if (hired.machines().size() < hire.count) {
-                refused.put(o, node.loop.seconds() + REFUSED_S);
+                refused.put(o, node.loop.seconds() + (o.spot() ? REFUSED_SPOT_S : REFUSED_S));
               }
               hire.calling = true;
               record(hire, hired.machines());
--- /dev/null
+++ b/src/main/java/io/violetrail/fleet/Sharing.java
@@ -0,0 +1,227 @@
+package io.violetrail.fleet;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.violetrail.config.Settings.Team;
+import io.violetrail.model.Amounts;
+import io.violetrail.model.ControllerId;
+import io.violetrail.model.Version;
+import io.violetrail.node.Node;
+import io.violetrail.ownership.Holding;
+import io.violetrail.ownership.Rows;
+import io.violetrail.ownership.Rows.EntityRow;
+import io.violetrail.ownership.Rows.MachineRow;
+import io.violetrail.peer.Need;
+import io.violetrail.scheduling.Dispatcher;
+import io.violetrail.scheduling.Job;
+import io.violetrail.wire.Cbor;
+import io.violetrail.wire.StateWire.Change;
+import io.violetrail.wire.StateWire.Entry;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Passes idle machines and unused slices of teams' limits between entities, on demand. */
+public final class Sharing {
+  private static final Logger LOG = LoggerFactory.getLogger(Sharing.class);
+  private static final double ASK_S = 0.7;
+  private static final int MAX_NEEDS = 6;
+
+  private final Node node;
+
+  /** Parts of own slices that are on their way to another entity: no longer used, not yet gone. */
+  private final Map<String, Amounts> leaving = new HashMap<>();
+
+  private double askedS = Double.NEGATIVE_INFINITY;
+
+  public Sharing(Node node) {
+    this.node = node;
+  }
+
+  /** An entity's slice of a team's limit, less what is on its way out. */
+  public Amounts slice(ControllerId entity, String team) {
+    return stored(entity, team).minus(leaving.getOrDefault(entity + "/" + team, Amounts.NONE));
+  }
+
+  private Amounts stored(ControllerId entity, String team) {
+    Team t = node.settings.teams().get(team);
+    if (t == null) {
+      return Amounts.NONE;
+    }
+    Entry row = node.directory.slice(team);
+    if (row != null && row.value().has(entity.value())) {
+      var v = row.value().get(entity.value());
+      return new Amounts(amount(v.path(0).asDouble(), t.cpusMax()), amount(v.path(1).asDouble(), t.gpusMax()), Double.POSITIVE_INFINITY);
+    }
+    int parts = node.settings.peers().size() + 1;
+    return new Amounts(t.cpusMax() / parts, t.gpusMax() / parts, Double.POSITIVE_INFINITY);
+  }
+
+  private static double amount(double stored, double max) {
+    return Double.isInfinite(max) ? max : stored;
+  }
+
+  /** Asks the peers for what waiting jobs lack. */
+  public void ask(Holding h) {
+    double now = node.loop.seconds();
+    if (now - askedS < ASK_S) {
+      return;
+    }
+    List<Need> needs = new ArrayList<>();
+    boolean uncertain = h.uncertain(now);
+    for (Job job : Dispatcher.order(h)) {
+      int waiting = job.unplaced();
+      if (waiting == 0 || job.recovered && uncertain || needs.size() >= MAX_NEEDS) {
+        continue;
+      }
+      int allowed = node.dispatcher.quota(h, job.spec.team(), now).count(job.spec.task());
+      if (allowed < waiting) {
+        needs.add(Need.slice(job.spec, waiting - allowed, job.arrivedMs));
+      }
+      if (allowed > 0) {
+        needs.add(Need.machines(job.spec, Math.min(waiting, allowed), job.arrivedMs));
+      }
+    }
+    if (!needs.isEmpty()) {
+      askedS = now;
+      node.peers.askFor(h.entity(), needs);
+    }
+  }
+
+  /** A peer's entity lacks something: what is idle here and not needed goes there. */
+  public void asked(ControllerId to, List<Need> needs) {
+    EntityRow target = node.directory.entity(to);
+    if (target == null || !node.membership.valid() || node.membership.holding(to) != null) {
+      return;
+    }
+    for (Holding h : node.membership.holdings()) {
+      if (h.active()) {
+        for (Need need : needs) {
+          if (need.slice()) {
+            giveSlice(h, to, need);
+          } else {
+            giveMachines(h, target, need);
+          }
+        }
+      }
+    }
+  }
+
+  /** Entities held here share directly, as if each were a peer of the other. */
+  private void giveMachines(Holding h, EntityRow target, Need need) {
+    if (wantedHere(h, need)) {
+      return;
+    }
+    int left = need.tasks();
+    for (Machine m : List.copyOf(h.machines.values())) {
+      if (left <= 0) {
+        return;
+      }
+      int fit = m.type.size().count(need.task());
+      if (fit > 0 && m.open() && m.empty() && need.allows(m.row.type(), m.row.zone(), m.row.spot()) && suits(m, need)) {
+        left -= fit;
+        pass(h, m, target);
+      }
+    }
+  }
+
+  /** Accelerators do not go to work that needs none. */
+  private static boolean suits(Machine m, Need need) {
+    return m.type.size().gpus() == 0 || need.gpus() > 0;
+  }
+
+  /** Whether an own job that is more urgent, or has waited longer, waits for the same kind of room. */
+  private boolean wantedHere(Holding h, Need need) {
+    for (Job job : h.jobs.values()) {
+      if (job.phase != Job.Phase.OPEN || job.unplaced() == 0) {
+        continue;
+      }
+      int priority = job.spec.priority().ordinal();
+      boolean first = priority < need.priority() || priority == need.priority() && job.arrivedMs <= need.arrivedMs();
+      if (first && (job.spec.task().gpus() > 0) == (need.gpus() > 0)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** One conditional write gives the machine to the other entity and raises its term. */
+  private void pass(Holding h, Machine m, EntityRow target) {
+    m.promised = true;
+    Version above = h.token(m).compareTo(target.version()) > 0 ? h.token(m) : target.version();
+    MachineRow next = m.row.passedTo(target.entity(), above.nextFor(target.version().owner()), 0);
+    node.store
+        .settle(
+            h.fenced()
+                .when(Rows.entity(target.entity()), target.stamp())
+                .when(Rows.machine(m.id()), m.row.stamp())
+                .set(Rows.machine(m.id()), Rows.value(next)))
+        .whenComplete(
+            (outcome, failure) -> {
+              if (failure == null && outcome.applied()) {
+                LOG.info("machine {} passes from entity {} to {} with term {}", m.id(), h.entity(), next.entity(), next.term());
+                h.machines.remove(m.id(), m);
+                node.learned(next.stamped(outcome.revision()));
+              } else if (failure == null && outcome.failed().size() == 1 && outcome.failed().contains(Rows.entity(target.entity()))) {
+                m.promised = false;
+              } else {
+                node.checkMachine(h, m);
+              }
+            });
+  }
+
+  private void giveSlice(Holding h, ControllerId to, Need need) {
+    String key = h.entity() + "/" + need.team();
+    Team team = node.settings.teams().get(need.team());
+    if (team == null || leaving.containsKey(key)) {
+      return;
+    }
+    double now = node.loop.seconds();
+    Amounts spare = node.dispatcher.quota(h, need.team(), now).minus(waiting(h, need));
+    int tasks = Math.min(need.tasks(), spare.count(need.task()));
+    if (tasks <= 0) {
+      return;
+    }
+    Amounts moved = new Amounts(finite(need.cpus() * tasks, team.cpusMax()), finite(need.gpus() * tasks, team.gpusMax()), 0);
+    leaving.put(key, moved);
+    String row = Rows.SLICE + need.team();
+    Entry before = node.directory.slice(need.team());
+    ObjectNode value = Cbor.map();
+    for (ControllerId e : node.settings.controllers()) {
+      Amounts s = stored(e, need.team());
+      s = e.equals(h.entity()) ? s.minus(moved) : e.equals(to) ? s.plus(moved) : s;
+      value.putArray(e.value()).add(finite(s.cpus(), team.cpusMax())).add(finite(s.gpus(), team.gpusMax()));
+    }
+    node.store
+        .settle(h.fenced().when(row, before == null ? 0 : before.stamp()).set(row, value))
+        .whenComplete(
+            (outcome, failure) -> {
+              if (failure == null && outcome.applied()) {
+                node.directory.apply(new Change(row, value, outcome.revision()));
+                leaving.remove(key);
+                LOG.info("entity {} gives {} {} cpus and {} gpus of team {}", h.entity(), to, moved.cpus(), moved.gpus(), need.team());
+              } else {
+                // An earlier try may have applied: the part counts as gone until a fresh reading.
+                node.membership.relistThen(() -> leaving.remove(key));
+              }
+            });
+  }
+
+  private static double finite(double amount, double max) {
+    return Double.isInfinite(max) ? 0 : amount;
+  }
+
+  /** What jobs here that are at least as urgent still wait for. */
+  private Amounts waiting(Holding h, Need need) {
+    Amounts sum = Amounts.NONE;
+    for (Job job : h.jobs.values()) {
+      boolean first = job.spec.priority().ordinal() <= need.priority() && job.arrivedMs <= need.arrivedMs();
+      if (job.phase == Job.Phase.OPEN && first && job.spec.team().equals(need.team())) {
+        sum = sum.plus(job.spec.task().times(job.unplaced()));
+      }
+    }
+    return new Amounts(sum.cpus(), sum.gpus(), 0);
+  }
+}
--- a/src/main/java/io/violetrail/node/Node.java
+++ b/src/main/java/io/violetrail/node/Node.java
@@ -7,8 +7,10 @@
 import io.violetrail.config.Settings;
 import io.violetrail.fleet.Fleet;
 import io.violetrail.fleet.Machine;
+import io.violetrail.fleet.Sharing;
 import io.violetrail.model.ControllerId;
 import io.violetrail.model.JobView;
+import io.violetrail.model.MachineId;
 import io.violetrail.model.MachineType;
 import io.violetrail.model.Version;
 import io.violetrail.net.Http;
@@ -27,9 +29,11 @@
 import io.violetrail.wire.Cbor.Malformed;
 import io.violetrail.wire.StateWire.Change;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -50,10 +54,14 @@
   public final Fleet fleet;
   public final UserApi api;
   public final Peers peers;
+  public final Sharing sharing;
 
   private final Map<String, MachineType> types = new HashMap<>();
   private Object typesFrom;
 
+  /** Machines that the cloud has taken back while their rows still stand. */
+  public final Set<MachineId> gone = new HashSet<>();
+
   public Node(Settings settings, Options options, Loop loop, Http http, Random random) {
     this.settings = settings;
     this.options = options;
@@ -66,6 +74,7 @@
     this.jobs = new Jobs(this);
     this.dispatcher = new Dispatcher(this);
     this.peers = new Peers(this, http);
+    this.sharing = new Sharing(this);
     this.fleet = new Fleet(this, new CloudClient(loop, http, settings));
     this.api = new UserApi(this, jobs);
   }
@@ -116,7 +125,8 @@
     if (m != null) {
       return m;
     }
-    return add(h, row, loop.seconds() + timing.goneAfterSeizureS());
+    // A machine from outside the entity can hide none of its tasks: they start only on recorded machines.
+    return add(h, row, loop.seconds());
   }
 
   private Machine add(Holding h, MachineRow row, double unheardGoneS) {
@@ -175,9 +185,24 @@
       h.unplace(p, loop.seconds());
     }
     h.machines.remove(m.id());
+    gone.add(m.id());
     dispatcher.wake();
   }
 
+  /** After an unclear write: whether a machine is still this entity's. */
+  public void checkMachine(Holding h, Machine m) {
+    membership.relistThen(
+        () -> {
+          MachineRow row = directory.machine(m.id());
+          if (row == null || !row.entity().equals(h.entity())) {
+            h.machines.remove(m.id(), m);
+          } else {
+            m.row = row;
+            m.promised = false;
+          }
+        });
+  }
+
   @Override
   public void gained(Holding h) {
     peers.announce();
@@ -242,7 +267,7 @@
         continue;
       }
       for (MachineRow row : directory.machinesOf(h.entity())) {
-        if (!h.machines.containsKey(row.id())) {
+        if (!h.machines.containsKey(row.id()) && !gone.contains(row.id())) {
           Machine m = add(h, row, loop.seconds());
           if (m != null) {
             // A machine is passed over empty, so it hides nothing.
--- a/src/main/java/io/violetrail/ownership/Membership.java
+++ b/src/main/java/io/violetrail/ownership/Membership.java
@@ -231,17 +231,23 @@
 
   /** Reads all common rows afresh. */
   public void relist() {
+    relistThen(() -> {});
+  }
+
+  /** Reads all common rows afresh, however long that takes, and goes on then. */
+  public void relistThen(Runnable next) {
     store
         .list(Rows.COMMON)
         .whenComplete(
             (listing, failure) -> {
               if (failure == null) {
                 directory.replace(listing.entries(), listing.revision());
+                next.run();
                 check();
                 listener.changed();
                 watch();
               } else {
-                loop.after(1, this::relist);
+                loop.after(1, () -> relistThen(next));
               }
             });
   }
--- a/src/main/java/io/violetrail/peer/Peers.java
+++ b/src/main/java/io/violetrail/peer/Peers.java
@@ -14,6 +14,8 @@
 import io.violetrail.node.Node;
 import io.violetrail.ownership.Holding;
 import io.violetrail.state.StateStore.Unavailable;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
@@ -40,11 +42,16 @@
     VIEW,
     CANCEL,
     HAND_BACK,
-    MOVED
+    MOVED,
+    NEED
   }
 
   /** A question about a job or an entity. */
-  public record Question(Kind kind, String from, String subject, long number) {}
+  public record Question(Kind kind, String from, String subject, long number, ArrayList<Need> needs) {
+    Question(Kind kind, String from, String subject, long number) {
+      this(kind, from, subject, number, new ArrayList<>());
+    }
+  }
 
   /** An answer: whether it is known, and a job's state. */
   public record Reply(boolean known, String status, int done, int running) {
@@ -57,6 +64,8 @@
       kryo.setRegistrationRequired(true);
       kryo.setReferences(false);
       kryo.setMaxDepth(8);
+      kryo.register(ArrayList.class);
+      kryo.register(Need.class);
       kryo.register(Kind.class);
       kryo.register(Question.class);
       kryo.register(Reply.class);
@@ -99,6 +108,12 @@
                 node.settings.peers().keySet().forEach(p -> call(p, new Question(Kind.MOVED, node.settings.self().value(), entity, version), TIMEOUT_S)));
   }
 
+  /** Asks all peers for machines or slices that an entity held here lacks. */
+  public void askFor(ControllerId entity, List<Need> needs) {
+    Question q = new Question(Kind.NEED, node.settings.self().value(), entity.value(), 0, new ArrayList<>(needs));
+    node.settings.peers().keySet().stream().filter(node.directory::isAlive).forEach(p -> call(p, q, TIMEOUT_S));
+  }
+
   private CompletableFuture<Reply> call(ControllerId to, Question question, double timeoutS) {
     HostPort address = node.settings.peers().get(to);
     if (address == null) {
@@ -143,6 +158,10 @@
         }
         reply.accept(Reply.UNKNOWN);
       }
+      case NEED -> {
+        node.sharing.asked(new ControllerId(q.subject()), q.needs());
+        reply.accept(Reply.UNKNOWN);
+      }
       case MOVED -> {
         node.membership.told(new ControllerId(q.subject()), new Version(q.number()));
         reply.accept(Reply.UNKNOWN);
--- a/src/main/java/io/violetrail/scheduling/Dispatcher.java
+++ b/src/main/java/io/violetrail/scheduling/Dispatcher.java
@@ -1,6 +1,5 @@
 package io.violetrail.scheduling;
 
-import io.violetrail.config.Settings.Team;
 import io.violetrail.fleet.Machine;
 import io.violetrail.model.Amounts;
 import io.violetrail.model.JobSpec;
@@ -171,6 +170,7 @@
       Amounts used = job.spec.shape() == Shape.GANG ? placeGang(h, job, rooms, quota, now) : placeTasks(h, job, rooms, quota, now);
       left.put(job.spec.team(), quota.minus(used));
     }
+    node.sharing.ask(h);
   }
 
   /** Open jobs, the most urgent first. */
@@ -187,12 +187,7 @@
 
   /** What is left of the entity's slice of a team's limit. */
   public Amounts quota(Holding h, String team, double now) {
-    Team t = node.settings.teams().get(team);
-    if (t == null) {
-      return Amounts.NONE;
-    }
-    int parts = node.settings.peers().size() + 1;
-    return new Amounts(t.cpusMax() / parts, t.gpusMax() / parts, Double.POSITIVE_INFINITY).minus(h.used(team, now));
+    return node.sharing.slice(h.entity(), team).minus(h.used(team, now));
   }
 
   private Amounts placeTasks(Holding h, Job job, Map<Machine, Amounts> rooms, Amounts quota, double now) {
--- a/src/main/java/io/violetrail/worker/Beats.java
+++ b/src/main/java/io/violetrail/worker/Beats.java
@@ -92,7 +92,9 @@
       done.accept(Answer.of(421, BeatWire.elsewhere(null)));
       return;
     }
-    Version term = beat.token().compareTo(own.row.version()) > 0 ? beat.token().nextFor(own.row.version().owner()) : own.row.version();
+    // Strictly above what its worker has seen: a report held back for minutes then shows its age.
+    Version seen = beat.token().compareTo(own.row.version()) > 0 ? beat.token() : own.row.version();
+    Version term = seen.nextFor(own.row.version().owner());
     MachineRow row =
         new MachineRow(beat.machine(), own.entity(), beat.type(), beat.zone(), beat.spot(), true, term, node.loop.wallMillis(), 0);
     node.store
@@ -135,10 +137,17 @@
     // A report may have been held back in the network for minutes. It is as old as it may be, unless
     // its worker has seen our term, or its session has begun after a lease that is surely over.
     if (beat.token().compareTo(m.since) < 0 || beat.session() < m.firstSession) {
-      if (!m.heard) {
+      if (!m.heard && m.uncertain(now)) {
         m.unheardGoneS = Math.max(m.unheardGoneS, now + node.timing.goneAfterAnswerS());
       }
-      return Answer.of(200, BeatWire.reply(token, List.of()));
+      List<Order> first = new ArrayList<>();
+      if (m.heard && m.session == 0 && node.membership.valid() && holding.active()) {
+        // Passed over empty: it can be given its first tasks before it has seen its new term.
+        m.session = beat.session();
+        m.seq = beat.seq();
+        command(m, now, first);
+      }
+      return Answer.of(200, BeatWire.reply(token, first));
     }
     List<Order> orders = new ArrayList<>();
     take(holding, m, beat, now, orders);
