--- a/src/main/java/io/violetrail/cli/Main.java
+++ b/src/main/java/io/violetrail/cli/Main.java
@@ -3,6 +3,9 @@
 import io.undertow.server.DefaultByteBufferPool;
 import io.violetrail.config.Options;
 import io.violetrail.config.Settings;
+import io.violetrail.net.Http;
+import io.violetrail.net.Loop;
+import io.violetrail.net.Service;
 import io.violetrail.net.UndertowHttp;
 import io.violetrail.net.UndertowLoop;
 import io.violetrail.net.UndertowServer;
@@ -90,7 +93,7 @@
   }
 
   @Override
-  public Integer call() throws IOException {
+  public Integer call() throws Exception {
     if (rehearse) {
       return Rehearsal.run();
     }
@@ -107,11 +110,18 @@
       System.err.println("violetrail: " + e.getMessage());
       return BAD_USAGE;
     }
-    start(settings, new Options(lapseS, idleS, sample));
+    start(settings, new Options(lapseS, idleS, sample), null);
     return 0;
   }
 
-  static Node start(Settings settings, Options options) throws IOException {
+  /** The edges of a started controller. */
+  record Running(Loop loop, Http http) {}
+
+  /**
+   * Starts a controller, or a script in its place. All of it happens on the I/O thread: the main
+   * thread has nothing left to do once that thread runs, and two threads never share a start.
+   */
+  static Running start(Settings settings, Options options, Service script) throws IOException {
     XnioWorker worker =
         Xnio.getInstance()
             .createWorker(
@@ -125,11 +135,20 @@
     var buffers = new DefaultByteBufferPool(true, 8 * 1024, 256, 0);
     var loop = new UndertowLoop(worker.getIoThread());
     var http = new UndertowHttp(worker.getIoThread(), loop, buffers);
-    Node node = new Node(settings, options, loop, http, new Random());
-    UndertowServer.start(settings.api(), node.api, loop, worker, buffers);
-    UndertowServer.start(settings.listen(), node.peerService(), loop, worker, buffers);
-    loop.locked(node::start);
-    LoggerFactory.getLogger(Main.class).info("{} serves at {}", settings.self(), settings.api());
-    return node;
+    loop.execute(
+        () -> {
+          if (script != null) {
+            UndertowServer.start(settings.api(), script, loop, worker, buffers);
+            UndertowServer.start(settings.listen(), script, loop, worker, buffers);
+            return;
+          }
+          Node node = new Node(settings, options, loop, http, new Random());
+          // The first calls are on their way while the servers come up.
+          node.start();
+          UndertowServer.start(settings.api(), node.api, loop, worker, buffers);
+          UndertowServer.start(settings.listen(), node.peerService(), loop, worker, buffers);
+          LoggerFactory.getLogger(Main.class).info("{} serves at {}", settings.self(), settings.api());
+        });
+    return new Running(loop, http);
   }
 }
--- a/src/main/java/io/violetrail/config/Settings.java
+++ b/src/main/java/io/violetrail/config/Settings.java
@@ -71,7 +71,7 @@
     }
   }
 
-  static Settings read(JsonNode m) throws Invalid {
+  public static Settings read(JsonNode m) throws Invalid {
     Map<ControllerId, HostPort> peers = new LinkedHashMap<>();
     for (JsonNode p : m.path("known")) {
       peers.put(new ControllerId(text(p, "label")), address(p, "address"));
--- a/src/main/java/io/violetrail/peer/Peers.java
+++ b/src/main/java/io/violetrail/peer/Peers.java
@@ -7,6 +7,7 @@
 import io.violetrail.config.Settings.HostPort;
 import io.violetrail.model.ControllerId;
 import io.violetrail.model.JobId;
+import io.violetrail.model.JobSpec;
 import io.violetrail.model.JobView;
 import io.violetrail.model.Version;
 import io.violetrail.net.Http;
@@ -58,6 +59,14 @@
     static final Reply UNKNOWN = new Reply(false, "", 0, 0);
   }
 
+  /** Writes and reads a message, so that the classes for it are loaded. */
+  public static void rehearse(JobSpec spec) {
+    Peers p = new Peers(null, null);
+    ArrayList<Need> needs = new ArrayList<>(List.of(Need.machines(spec, 1, 0)));
+    p.read(p.bytes(new Question(Kind.NEED, "a", "b", 0, needs)), Question.class);
+    p.read(p.bytes(Reply.UNKNOWN), Reply.class);
+  }
+
   private Kryo kryo() {
     if (kryo == null) {
       kryo = new Kryo();
