--- a/src/main/java/io/violetrail/fleet/Fleet.java
+++ b/src/main/java/io/violetrail/fleet/Fleet.java
@@ -35,6 +35,9 @@
   private static final double REFUSED_SPOT_S = 75;
   private static final int MAX_BOOTING = 20;
 
+  /** A worker gives a dead controller up after 4 s and tries the next one a second later. */
+  private static final double UNHEARD_S = 5;
+
   private final Node node;
   private final CloudClient cloud;
 
@@ -156,6 +159,10 @@
     if (!m.row.up()) {
       return now - m.rentedS > Math.max(60, 3 * m.type.bootS() + 20);
     }
+    if (m.uncertain(now) && now - m.heardS > UNHEARD_S + 2 * node.settings.workers().reportS()) {
+      // Everything recovered waits for what it may hold, and the cloud's answer settles that.
+      return true;
+    }
     if (m.silent) {
       return m.empty() && now - m.heardS > node.timing.goneAfterAnswerS() + 5;
     }
--- a/src/main/java/io/violetrail/fleet/Machine.java
+++ b/src/main/java/io/violetrail/fleet/Machine.java
@@ -6,6 +6,7 @@
 import io.violetrail.model.TaskId;
 import io.violetrail.model.Version;
 import io.violetrail.ownership.Rows.MachineRow;
+import io.violetrail.scheduling.Job;
 import io.violetrail.scheduling.Placement;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -51,6 +52,10 @@
   /** Promised to another entity until then; nothing starts here meanwhile. */
   public boolean promised;
 
+  /** A more urgent job for which room is being made here; others keep out until then. */
+  public Job reservedFor;
+
+  public double reservedUntilS;
   public boolean marking;
   public int failures;
   public final Set<Object> failedJobs = new HashSet<>();
--- a/src/main/java/io/violetrail/scheduling/Dispatcher.java
+++ b/src/main/java/io/violetrail/scheduling/Dispatcher.java
@@ -28,11 +28,22 @@
   private static final double TICK_S = 0.5;
   private static final double MAX_BACKOFF_S = 60;
 
+  /** A class of jobs not seen for this long is not kept room for. */
+  private static final double RECENT_S = 600;
+
   private final Node node;
+  private final Preemption preemption;
+
+  /** Classes of jobs with accelerators that were here lately, with what their tasks take. */
+  private final Map<String, Accelerated> accelerated = new HashMap<>();
+
   private boolean awake;
 
+  private record Accelerated(Amounts task, double seenS) {}
+
   public Dispatcher(Node node) {
     this.node = node;
+    this.preemption = new Preemption();
   }
 
   public void start() {
@@ -163,6 +174,9 @@
     }
     Map<String, Amounts> left = new HashMap<>();
     for (Job job : order(h)) {
+      if (job.spec.task().gpus() > 0) {
+        accelerated.put(job.spec.jobClass(), new Accelerated(job.spec.task(), now));
+      }
       if (job.unplaced() == 0 || job.recovered && uncertain) {
         continue;
       }
@@ -201,8 +215,9 @@
       if (notBefore != null && notBefore > now) {
         continue;
       }
-      Machine m = choose(job, rooms, job.placed.values());
+      Machine m = choose(job, rooms, job.placed.values(), now);
       if (m == null) {
+        preemption.makeRoom(h, job, now);
         break;
       }
       h.place(new Placement(job, i, m, h.newAttempt(), now));
@@ -237,7 +252,7 @@
         free.keySet().removeIf(m -> !m.row.zone().equals(zone));
       }
       while (plan.size() < job.spec.tasks()) {
-        Machine m = choose(job, free, plan);
+        Machine m = choose(job, free, plan, now);
         if (m == null) {
           break;
         }
@@ -250,18 +265,21 @@
         return all;
       }
     }
+    preemption.makeRoom(h, job, now);
     return Amounts.NONE;
   }
 
   /** Best fit among a few sampled machines that have room and are allowed, given the job's other tasks. */
-  private Machine choose(Job job, Map<Machine, Amounts> rooms, Iterable<Placement> others) {
+  private Machine choose(Job job, Map<Machine, Amounts> rooms, Iterable<Placement> others, double now) {
     Map<String, Integer> perZone = new HashMap<>();
     if (job.spec.oneZone() || job.spec.spread()) {
       others.forEach(p -> perZone.merge(p.machine.row.zone(), 1, Integer::sum));
     }
     List<Machine> fitting = new ArrayList<>();
     for (var e : rooms.entrySet()) {
-      if (job.spec.task().fitsIn(e.getValue()) && allowed(job, e.getKey(), perZone)) {
+      Machine m = e.getKey();
+      boolean free = m.reservedFor == null || m.reservedFor == job || now > m.reservedUntilS;
+      if (free && job.spec.task().fitsIn(e.getValue()) && allowed(job, m, perZone) && leavesAccelerators(job, m, e.getValue(), now)) {
         fitting.add(e.getKey());
       }
     }
@@ -281,7 +299,16 @@
     return best;
   }
 
-  private static boolean allowed(Job job, Machine m, Map<String, Integer> perZone) {
+  /** Work without accelerators takes only what work with accelerators seen lately cannot use. */
+  private boolean leavesAccelerators(Job job, Machine m, Amounts room, double now) {
+    if (job.spec.task().gpus() > 0 || m.type.size().gpus() == 0) {
+      return true;
+    }
+    Amounts rest = room.minus(job.spec.task());
+    return accelerated.values().stream().filter(a -> now - a.seenS() < RECENT_S).allMatch(a -> rest.count(a.task()) >= room.count(a.task()));
+  }
+
+  static boolean allowed(Job job, Machine m, Map<String, Integer> perZone) {
     JobSpec s = job.spec;
     if (!s.allows(m.row.type(), m.row.zone(), m.row.spot())) {
       return false;
