--- a/src/main/java/io/violetrail/fleet/Fleet.java
+++ b/src/main/java/io/violetrail/fleet/Fleet.java
@@ -169,7 +169,7 @@
     if (m.draining) {
       return m.empty();
     }
-    return m.heard && m.empty() && now - m.idleSinceS > node.options.idleS();
+    return m.heard && m.empty() && now - m.idleSinceS > node.prices().idleS(m.type, m.row.spot(), node.options.idleS());
   }
 
   private void forget(Holding h, Machine m) {
@@ -268,6 +268,7 @@
   private Offer choose(Job job, int tasks, double now) {
     Offer best = null;
     double bestCost = Double.POSITIVE_INFINITY;
+    Prices prices = node.prices();
     for (MachineType t : node.types().values()) {
       int fit = t.size().count(job.spec.task());
       if (fit == 0) {
@@ -278,7 +279,7 @@
       for (String zone : t.zones()) {
         for (boolean spot : new boolean[] {true, false}) {
           Offer offer = new Offer(t.name(), zone, spot);
-          if (!job.spec.allows(t.name(), zone, spot) || refused.containsKey(offer)) {
+          if (!job.spec.allows(t.name(), zone, spot) || refused.containsKey(offer) || !prices.worth(job.spec, t, spot, now - job.arrivedS)) {
             continue;
           }
           double cost = t.price(spot) * time / Math.min(fit, tasks) * (1 + 0.01 * taste(offer));
--- /dev/null
+++ b/src/main/java/io/violetrail/fleet/Prices.java
@@ -0,0 +1,47 @@
+package io.violetrail.fleet;
+
+import io.violetrail.model.JobSpec;
+import io.violetrail.model.MachineType;
+import java.util.Collection;
+
+/** What a task costs on a machine, compared with what it costs where it is cheapest. */
+public final class Prices {
+  /** A task that waits is worth this many times the cheapest ordinary price at once, */
+  private static final double WORTH = 4;
+
+  /** and once more for each of these. */
+  private static final double WORTH_EVERY_S = 15;
+
+  private final Collection<MachineType> types;
+
+  public Prices(Collection<MachineType> types) {
+    this.types = types;
+  }
+
+  /** The hourly price of a type for one task when it is full of them. */
+  public static double perTask(JobSpec job, MachineType type, boolean spot) {
+    return type.price(spot) / Math.max(1, type.size().count(job.task()));
+  }
+
+  /** That price as a multiple of the cheapest ordinary one. */
+  public double ratio(JobSpec job, MachineType type, boolean spot) {
+    double cheapest = Double.POSITIVE_INFINITY;
+    for (MachineType t : types) {
+      if (t.size().count(job.task()) > 0 && (job.types() == null || job.types().contains(t.name()))) {
+        cheapest = Math.min(cheapest, perTask(job, t, false));
+      }
+    }
+    return perTask(job, type, spot) / cheapest;
+  }
+
+  /** Whether a task that has waited so long may keep a machine of this price for itself. */
+  public boolean worth(JobSpec job, MachineType type, boolean spot, double waitedS) {
+    return ratio(job, type, spot) <= WORTH + waitedS / WORTH_EVERY_S;
+  }
+
+  /** How long a machine may be idle: as much money is spent on that whatever it costs an hour. */
+  public double idleS(MachineType type, boolean spot, double idleS) {
+    double cheapest = types.stream().mapToDouble(MachineType::price).min().orElse(type.price());
+    return Math.max(idleS / 10, Math.min(idleS * 4, idleS * cheapest / type.price(spot)));
+  }
+}
--- a/src/main/java/io/violetrail/node/Node.java
+++ b/src/main/java/io/violetrail/node/Node.java
@@ -7,6 +7,7 @@
 import io.violetrail.config.Settings;
 import io.violetrail.fleet.Fleet;
 import io.violetrail.fleet.Machine;
+import io.violetrail.fleet.Prices;
 import io.violetrail.fleet.Sharing;
 import io.violetrail.model.ControllerId;
 import io.violetrail.model.JobView;
@@ -109,6 +110,10 @@
     return types;
   }
 
+  public Prices prices() {
+    return new Prices(types().values());
+  }
+
   public void typesAre(List<MachineType> all) {
     types.clear();
     all.forEach(t -> types.put(t.name(), t));
--- a/src/main/java/io/violetrail/scheduling/Dispatcher.java
+++ b/src/main/java/io/violetrail/scheduling/Dispatcher.java
@@ -279,7 +279,7 @@
     for (var e : rooms.entrySet()) {
       Machine m = e.getKey();
       boolean free = m.reservedFor == null || m.reservedFor == job || now > m.reservedUntilS;
-      if (free && job.spec.task().fitsIn(e.getValue()) && allowed(job, m, perZone) && leavesAccelerators(job, m, e.getValue(), now)) {
+      if (free && job.spec.task().fitsIn(e.getValue()) && allowed(job, m, perZone) && leavesAccelerators(job, m, e.getValue(), now) && affordable(job, m, now)) {
         fitting.add(e.getKey());
       }
     }
@@ -308,6 +308,15 @@
     return accelerated.values().stream().filter(a -> now - a.seenS() < RECENT_S).allMatch(a -> rest.count(a.task()) >= room.count(a.task()));
   }
 
+  /** A dear machine is not kept from being returned by work that could run on a cheap one. */
+  private boolean affordable(Job job, Machine m, double now) {
+    if (node.prices().worth(job.spec, m.type, m.row.spot(), now - job.arrivedS)) {
+      return true;
+    }
+    // It is kept by other work anyway.
+    return m.tasks.values().stream().anyMatch(p -> p.job.spec.task().gpus() > job.spec.task().gpus());
+  }
+
   static boolean allowed(Job job, Machine m, Map<String, Integer> perZone) {
     JobSpec s = job.spec;
     if (!s.allows(m.row.type(), m.row.zone(), m.row.spot())) {
@@ -324,12 +333,12 @@
   }
 
   /** Lower is better: little left over, no idle accelerators, the image at hand. */
-  private static double score(Job job, Machine m, Amounts room) {
+  private double score(Job job, Machine m, Amounts room) {
     Amounts size = m.type.size();
     Amounts rest = room.minus(job.spec.task());
-    double score = rest.cpus() / size.cpus();
+    double score = rest.cpus() / size.cpus() + 0.6 * node.prices().ratio(job.spec, m.type, m.row.spot());
     if (size.gpus() > 0) {
-      score += job.spec.task().gpus() > 0 ? rest.gpus() / size.gpus() : 3;
+      score += job.spec.task().gpus() > 0 ? rest.gpus() / size.gpus() : 1;
     }
     if (!m.images.contains(job.spec.image())) {
       score += Math.min(1, job.spec.imageGb() / m.type.fetchGbPerS() / 20);
