--- a/src/main/java/io/violetrail/fleet/Fleet.java
+++ b/src/main/java/io/violetrail/fleet/Fleet.java
@@ -13,6 +13,7 @@
 import io.violetrail.ownership.Rows.MachineRow;
 import io.violetrail.scheduling.Dispatcher;
 import io.violetrail.scheduling.Job;
+import io.violetrail.scheduling.Placement;
 import io.violetrail.wire.Cbor;
 import io.violetrail.wire.CloudWire;
 import io.violetrail.wire.StateWire.Entry;
@@ -176,6 +177,8 @@
     if (h.machines.get(m.id()) != m) {
       return;
     }
+    double age = node.loop.seconds() - m.rentedS;
+    LOG.info("machine {} ({}, spot {}) returned after {} s, used {} s", m.id(), m.row.type(), m.row.spot(), Math.round(age), Math.round(m.usedS));
     node.removed(h, m);
     node.store
         .settle(h.fenced().when(Rows.machine(m.id()), m.row.stamp()).drop(Rows.machine(m.id())))
@@ -196,10 +199,10 @@
     final Offer offer;
     Amounts room;
 
-    Bin(MachineType type, Offer offer) {
+    Bin(MachineType type, Offer offer, Amounts room) {
       this.type = type;
       this.offer = offer;
-      this.room = type.size();
+      this.room = room;
     }
   }
 
@@ -208,15 +211,18 @@
     List<Bin> bins = new ArrayList<>();
     for (Machine m : h.machines.values()) {
       if (!m.row.up() && !m.returning) {
-        bins.add(new Bin(m.type, new Offer(m.row.type(), m.row.zone(), m.row.spot())));
+        bins.add(new Bin(m.type, offer(m), m.type.size()));
+      } else if (m.open()) {
+        bins.add(new Bin(m.type, offer(m), roomSoon(m, now)));
       }
     }
     for (Hire hire : hires.values()) {
       MachineType type = node.type(hire.offer.type());
       for (int i = 0; hire.holding == h && type != null && i < hire.count; i++) {
-        bins.add(new Bin(type, hire.offer));
+        bins.add(new Bin(type, hire.offer, type.size()));
       }
     }
+    long booting = bins.size() - h.machines.values().stream().filter(Machine::open).count();
     boolean uncertain = h.uncertain(now);
     Map<Offer, Integer> wanted = new HashMap<>();
     Map<String, Amounts> left = new HashMap<>();
@@ -229,12 +235,13 @@
       left.put(job.spec.team(), quota.minus(job.spec.task().times(tasks)));
       for (int i = 0; i < tasks; i++) {
         if (!fill(job, bins)) {
-          Offer offer = bins.size() >= MAX_BOOTING ? null : choose(job, tasks - i, now);
+          Offer offer = booting >= MAX_BOOTING ? null : choose(job, tasks - i, now);
           if (offer == null) {
             break;
           }
+          booting++;
           wanted.merge(offer, 1, Integer::sum);
-          Bin bin = new Bin(node.type(offer.type()), offer);
+          Bin bin = new Bin(node.type(offer.type()), offer, node.type(offer.type()).size());
           bins.add(bin);
           bin.room = bin.room.minus(job.spec.task());
         }
@@ -243,13 +250,29 @@
     wanted.forEach((offer, count) -> hire(h, offer, Math.min(count, Math.min(CloudWire.MAX_HIRE, node.settings.stateLimits().txnOps() - 1))));
   }
 
+  private static Offer offer(Machine m) {
+    return new Offer(m.row.type(), m.row.zone(), m.row.spot());
+  }
+
+  /** What a machine will have free by the time that another of its type would be up. */
+  private Amounts roomSoon(Machine m, double now) {
+    Amounts room = m.room();
+    for (Placement p : m.tasks.values()) {
+      double began = p.runningS > 0 ? p.runningS : now + p.job.spec.imageGb() / m.type.fetchGbPerS();
+      if (began + node.estimates.runS(p.job.spec) < now + m.type.bootS()) {
+        room = room.plus(p.job.spec.task());
+      }
+    }
+    return room;
+  }
+
   /** How many of a job's waiting tasks are worth machines of their own, the rest taking turns. */
-  private static int wanted(Job job, double now) {
+  private int wanted(Job job, double now) {
     int waiting = job.unplaced();
     if (job.spec.shape() != io.violetrail.model.Shape.ARRAY || job.spec.deadlineS() == null) {
       return waiting;
     }
-    double run = Math.max(5, job.spec.estimateS());
+    double run = node.estimates.runS(job.spec);
     double turns = Math.max(1, Math.min(3, Math.floor((job.deadlineS() - now - 40) / run)));
     return (int) Math.ceil(waiting / turns);
   }
--- a/src/main/java/io/violetrail/fleet/Machine.java
+++ b/src/main/java/io/violetrail/fleet/Machine.java
@@ -98,6 +98,16 @@
     return row.up() && heard && !draining && !returning && !silent && !promised && noticeS == null;
   }
 
+  /** Seconds of full use so far, by the scarcer of processors and accelerators. */
+  public double usedS;
+
+  /** The share in use now. */
+  public double share() {
+    Amounts used = type.size().minus(room());
+    double gpus = type.size().gpus() > 0 ? used.gpus() / type.size().gpus() : 0;
+    return Math.max(used.cpus() / type.size().cpus(), gpus);
+  }
+
   public boolean empty() {
     return tasks.isEmpty() && strays.isEmpty();
   }
--- a/src/main/java/io/violetrail/node/Node.java
+++ b/src/main/java/io/violetrail/node/Node.java
@@ -25,6 +25,7 @@
 import io.violetrail.ownership.Timing;
 import io.violetrail.peer.Peers;
 import io.violetrail.scheduling.Dispatcher;
+import io.violetrail.scheduling.Estimates;
 import io.violetrail.state.StateStore;
 import io.violetrail.wire.CloudWire;
 import io.violetrail.wire.Cbor.Malformed;
@@ -56,6 +57,7 @@
   public final UserApi api;
   public final Peers peers;
   public final Sharing sharing;
+  public final Estimates estimates = new Estimates();
 
   private final Map<String, MachineType> types = new HashMap<>();
   private Object typesFrom;
--- a/src/main/java/io/violetrail/scheduling/Dispatcher.java
+++ b/src/main/java/io/violetrail/scheduling/Dispatcher.java
@@ -86,6 +86,7 @@
     if (!m.row.up()) {
       return;
     }
+    m.usedS += TICK_S * m.share();
     double report = node.settings.workers().reportS();
     if (!m.silent && now - m.heardS > 3 * report + 1) {
       m.silent = true;
--- a/src/main/java/io/violetrail/scheduling/Placement.java
+++ b/src/main/java/io/violetrail/scheduling/Placement.java
@@ -22,6 +22,9 @@
 
   public double sinceS;
 
+  /** When it was first seen running; 0 before. */
+  public double runningS;
+
   /** Identifies a report of a worker. */
   public record Sent(long session, long seq) {}
 
--- a/src/main/java/io/violetrail/worker/Beats.java
+++ b/src/main/java/io/violetrail/worker/Beats.java
@@ -218,6 +218,7 @@
     }
     if (p.state != piece.state() && piece.state() == State.RUNNING) {
       m.images.add(job.spec.image());
+      p.runningS = now;
     }
     p.state = piece.state();
     if (job.phase != Job.Phase.OPEN || job.done.get(index)) {
@@ -238,6 +239,9 @@
       job.failures = 0;
     }
     if (current) {
+      if (piece.why() == Why.DONE && p.runningS > 0 && p.haltGraceS < 0) {
+        node.estimates.learn(job.spec, now - p.runningS);
+      }
       holding.unplace(p, now);
       if (piece.why() != Why.DONE) {
         node.dispatcher.failed(holding, m, job, index, piece.why());
