--- a/src/main/java/io/violetrail/api/Jobs.java
+++ b/src/main/java/io/violetrail/api/Jobs.java
@@ -156,6 +156,7 @@
                 bound.put(spec.id(), h.entity());
                 if (h.active()) {
                   h.jobs.putIfAbsent(spec.id(), new Job(spec, nowMs, nowS, false));
+                  node.fleet.spares.arrived(spec, nowS);
                   node.dispatcher.wake();
                 }
                 LOG.info("job {} accepted by entity {} version {}: {} tasks", spec.id(), h.entity(), h.row.version(), spec.tasks());
--- a/src/main/java/io/violetrail/cloud/CloudClient.java
+++ b/src/main/java/io/violetrail/cloud/CloudClient.java
@@ -22,12 +22,15 @@
   private final Settings settings;
   private final Loop loop;
   private final Budget budget;
+  private final double share;
+  private double rate;
 
   public CloudClient(Loop loop, Http http, Settings settings) {
     this.loop = loop;
     this.http = http;
     this.settings = settings;
-    double rate = settings.cloudLimits().rps() * 0.9 / (settings.peers().size() + 1);
+    this.share = settings.cloudLimits().rps() * 0.9 / (settings.peers().size() + 1);
+    this.rate = share;
     this.budget = new Budget(rate, Math.max(1, rate * 2), loop.seconds());
   }
 
@@ -59,7 +62,7 @@
   }
 
   public CompletableFuture<Hired> hire(String name, String type, String zone, boolean spot, int count) {
-    return http.call(settings.cloud(), "POST", "/hosts", Cbor.bytes(CloudWire.hire(name, type, zone, spot, count)), TIMEOUT_S)
+    return send("POST", "/hosts", Cbor.bytes(CloudWire.hire(name, type, zone, spot, count)))
         .handle(
             (r, failure) -> {
               try {
@@ -82,11 +85,25 @@
 
   /** True once the machines are gone for certain. */
   public CompletableFuture<Boolean> giveBack(Collection<MachineId> machines) {
-    return http.call(settings.cloud(), "POST", "/hosts/return", Cbor.bytes(CloudWire.giveBack(machines)), TIMEOUT_S).handle((r, failure) -> failure == null && r.ok());
+    return send("POST", "/hosts/return", Cbor.bytes(CloudWire.giveBack(machines))).handle((r, failure) -> failure == null && r.ok());
   }
 
-  private CompletableFuture<Http.Reply> call(String method, String path, byte[] body) {
+  /**
+   * One call. What the peers leave unused of the common rate is taken little by little, and given up
+   * at once when the cloud says that it is too much.
+   */
+  private CompletableFuture<Http.Reply> send(String method, String path, byte[] body) {
     return http.call(settings.cloud(), method, path, body, TIMEOUT_S)
+        .whenComplete(
+            (r, failure) -> {
+              boolean tooMuch = failure == null && r.status() == 429;
+              rate = tooMuch ? Math.max(share / 2, rate / 2) : Math.min(settings.cloudLimits().rps() * 0.8, rate + share / 10);
+              budget.rate(rate, loop.seconds());
+            });
+  }
+
+  private CompletableFuture<Http.Reply> call(String method, String path, byte[] body) {
+    return send(method, path, body)
         .thenApply(
             r -> {
               if (!r.ok()) {
--- a/src/main/java/io/violetrail/fleet/Fleet.java
+++ b/src/main/java/io/violetrail/fleet/Fleet.java
@@ -48,6 +48,7 @@
   /** Until when a type, zone and kind counts as sold out. */
   private final Map<Offer, Double> refused = new HashMap<>();
 
+  public final Spares spares;
   private double typesAtS = Double.NEGATIVE_INFINITY;
   private boolean returning;
   private int tasteSeed;
@@ -73,6 +74,7 @@
   public Fleet(Node node, CloudClient cloud) {
     this.node = node;
     this.cloud = cloud;
+    this.spares = new Spares(node.settings.objectives());
   }
 
   public void start() {
@@ -131,7 +133,7 @@
   private void giveBack(Holding h, double now) {
     List<Machine> out = new ArrayList<>();
     for (Machine m : h.machines.values()) {
-      if (m.returning || ofNoUse(m, now)) {
+      if (m.returning || ofNoUse(m, now) && !(idle(m) && spare(h, m, now))) {
         m.returning = true;
         out.add(m);
       }
@@ -153,6 +155,18 @@
             });
   }
 
+  private static boolean idle(Machine m) {
+    return m.row.up() && m.heard && !m.silent && !m.draining;
+  }
+
+  /** Whether an idle machine is room kept ahead of need. */
+  private boolean spare(Holding h, Machine m, double now) {
+    List<Machine> others = h.machines.values().stream().filter(o -> o != m).toList();
+    Prices prices = node.prices();
+    return spares.wanted(boot(), now).entrySet().stream()
+        .anyMatch(e -> Spares.room(e.getKey(), List.of(m), prices) > 0 && Spares.room(e.getKey(), others, prices) < e.getValue());
+  }
+
   private boolean ofNoUse(Machine m, double now) {
     if (m.promised) {
       return false;
@@ -195,12 +209,13 @@
 
   /** A machine that is on its way, as room for what waits. */
   private static final class Bin {
-    final MachineType type;
     final Offer offer;
     Amounts room;
 
-    Bin(MachineType type, Offer offer, Amounts room) {
-      this.type = type;
+    final boolean coming;
+
+    Bin(Offer offer, Amounts room, boolean coming) {
+      this.coming = coming;
       this.offer = offer;
       this.room = room;
     }
@@ -211,18 +226,20 @@
     List<Bin> bins = new ArrayList<>();
     for (Machine m : h.machines.values()) {
       if (!m.row.up() && !m.returning) {
-        bins.add(new Bin(m.type, offer(m), m.type.size()));
+        bins.add(new Bin(offer(m), m.type.size(), true));
       } else if (m.open()) {
-        bins.add(new Bin(m.type, offer(m), roomSoon(m, now)));
+        bins.add(new Bin(offer(m), roomSoon(m, now), false));
       }
     }
     for (Hire hire : hires.values()) {
       MachineType type = node.type(hire.offer.type());
       for (int i = 0; hire.holding == h && type != null && i < hire.count; i++) {
-        bins.add(new Bin(type, hire.offer, type.size()));
+        bins.add(new Bin(hire.offer, type.size(), true));
       }
     }
-    long booting = bins.size() - h.machines.values().stream().filter(Machine::open).count();
+    long booting = bins.stream().filter(b -> b.coming).count();
+    // What is urgent does not wait for others to end.
+    List<Bin> fresh = new ArrayList<>(bins.stream().filter(b -> b.coming).toList());
     boolean uncertain = h.uncertain(now);
     Map<Offer, Integer> wanted = new HashMap<>();
     Map<String, Amounts> left = new HashMap<>();
@@ -234,22 +251,44 @@
       int tasks = Math.min(wanted(job, now), quota.count(job.spec.task()));
       left.put(job.spec.team(), quota.minus(job.spec.task().times(tasks)));
       for (int i = 0; i < tasks; i++) {
-        if (!fill(job, bins)) {
+        if (!fill(job, spares.urgent(job.spec) ? fresh : bins)) {
           Offer offer = booting >= MAX_BOOTING ? null : choose(job, tasks - i, now);
           if (offer == null) {
             break;
           }
           booting++;
           wanted.merge(offer, 1, Integer::sum);
-          Bin bin = new Bin(node.type(offer.type()), offer, node.type(offer.type()).size());
+          Bin bin = new Bin(offer, node.type(offer.type()).size(), true);
           bins.add(bin);
+          fresh.add(bin);
           bin.room = bin.room.minus(job.spec.task());
         }
       }
     }
+    keepSpares(h, wanted, now);
     wanted.forEach((offer, count) -> hire(h, offer, Math.min(count, Math.min(CloudWire.MAX_HIRE, node.settings.stateLimits().txnOps() - 1))));
   }
 
+  private void keepSpares(Holding h, Map<Offer, Integer> wanted, double now) {
+    spares
+        .wanted(boot(), now)
+        .forEach(
+            (spec, tasks) -> {
+              int have = Spares.room(spec, h.machines.values(), node.prices());
+              boolean coming = !wanted.isEmpty() || hires.values().stream().anyMatch(hire -> hire.holding == h);
+              if (have < tasks && !coming && h.entity().equals(node.settings.self())) {
+                Offer offer = choose(new Job(spec, 0, now, false), 1, now);
+                if (offer != null) {
+                  wanted.merge(offer, 1, Integer::sum);
+                }
+              }
+            });
+  }
+
+  private double boot() {
+    return node.types().values().stream().mapToDouble(MachineType::bootS).min().orElse(0);
+  }
+
   private static Offer offer(Machine m) {
     return new Offer(m.row.type(), m.row.zone(), m.row.spot());
   }
@@ -365,13 +404,19 @@
               }
               LOG.info("entity {}: hire {} of {} {}: {}", hire.holding.entity(), hire.name, hire.count, o, hired.machines());
               if (hired.machines().size() < hire.count) {
-                refused.put(o, node.loop.seconds() + (o.spot() ? REFUSED_SPOT_S : REFUSED_S));
+                soldOut(o);
+                node.peers.soldOut(o.type(), o.zone(), o.spot());
               }
               hire.calling = true;
               record(hire, hired.machines());
             });
   }
 
+  /** The cloud has none of these for now. */
+  public void soldOut(Offer o) {
+    refused.put(o, node.loop.seconds() + (o.spot() ? REFUSED_SPOT_S : REFUSED_S));
+  }
+
   /** Stores the machines rented, each unless somebody has adopted it, and drops the request. */
   private void record(Hire hire, List<MachineId> machines) {
     Holding h = hire.holding;
--- a/src/main/java/io/violetrail/net/Budget.java
+++ b/src/main/java/io/violetrail/net/Budget.java
@@ -2,7 +2,7 @@
 
 /** A token bucket over the steady clock. */
 public final class Budget {
-  private final double perSecond;
+  private double perSecond;
   private final double burst;
   private double tokens;
   private double last;
@@ -30,6 +30,12 @@
     tokens -= n;
   }
 
+  /** Changes the rate from now on. */
+  public void rate(double newPerSecond, double now) {
+    refill(now);
+    perSecond = newPerSecond;
+  }
+
   private void refill(double now) {
     tokens = Math.min(burst, tokens + (now - last) * perSecond);
     last = now;
--- a/src/main/java/io/violetrail/peer/Peers.java
+++ b/src/main/java/io/violetrail/peer/Peers.java
@@ -5,6 +5,7 @@
 import com.esotericsoftware.kryo.io.Input;
 import com.esotericsoftware.kryo.io.Output;
 import io.violetrail.config.Settings.HostPort;
+import io.violetrail.fleet.Fleet;
 import io.violetrail.model.ControllerId;
 import io.violetrail.model.JobId;
 import io.violetrail.model.JobSpec;
@@ -44,7 +45,8 @@
     CANCEL,
     HAND_BACK,
     MOVED,
-    NEED
+    NEED,
+    SOLD_OUT
   }
 
   /** A question about a job or an entity. */
@@ -123,6 +125,12 @@
     node.settings.peers().keySet().stream().filter(node.directory::isAlive).forEach(p -> call(p, q, TIMEOUT_S));
   }
 
+  /** Saves the peers a call to the cloud. */
+  public void soldOut(String type, String zone, boolean spot) {
+    Question q = new Question(Kind.SOLD_OUT, node.settings.self().value(), type + " " + zone + " " + spot, 0);
+    node.settings.peers().keySet().stream().filter(node.directory::isAlive).forEach(p -> call(p, q, TIMEOUT_S));
+  }
+
   private CompletableFuture<Reply> call(ControllerId to, Question question, double timeoutS) {
     HostPort address = node.settings.peers().get(to);
     if (address == null) {
@@ -167,6 +175,13 @@
         }
         reply.accept(Reply.UNKNOWN);
       }
+      case SOLD_OUT -> {
+        String[] offer = q.subject().split(" ", 3);
+        if (offer.length == 3) {
+          node.fleet.soldOut(new Fleet.Offer(offer[0], offer[1], Boolean.parseBoolean(offer[2])));
+        }
+        reply.accept(Reply.UNKNOWN);
+      }
       case NEED -> {
         node.sharing.asked(new ControllerId(q.subject()), q.needs());
         reply.accept(Reply.UNKNOWN);
