--- a/src/main/java/io/violetrail/scheduling/Dispatcher.java
+++ b/src/main/java/io/violetrail/scheduling/Dispatcher.java
@@ -171,7 +171,8 @@
     }
   }
 
-  private void place(Holding h) {
+  /** Finds places for what waits in an entity. */
+  public void place(Holding h) {
     double now = node.loop.seconds();
     boolean uncertain = h.uncertain(now);
     Map<Machine, Amounts> rooms = new HashMap<>();
--- a/src/main/java/io/violetrail/worker/Beats.java
+++ b/src/main/java/io/violetrail/worker/Beats.java
@@ -172,6 +172,7 @@
       return Answer.of(200, BeatWire.reply(token, first));
     }
     List<Order> orders = new ArrayList<>();
+    int before = m.tasks.size();
     take(holding, m, beat, now, orders);
     m.session = beat.session();
     m.seq = beat.seq();
@@ -182,6 +183,10 @@
       return Answer.of(200, BeatWire.reply(token, List.of()));
     }
     node.dispatcher.drain(m);
+    if (m.tasks.size() < before) {
+      // What has ended makes room that this very answer can fill; the next one is a report away.
+      node.dispatcher.place(holding);
+    }
     command(m, now, orders);
     node.dispatcher.wake();
     return Answer.of(
