--- a/src/main/java/io/violetrail/config/Settings.java
+++ b/src/main/java/io/violetrail/config/Settings.java
@@ -37,7 +37,8 @@
   public record Team(String name, double cpus, double gpus, double cpusMax, double gpusMax) {}
 
   /** An aim that the users state; {@code jobClass} may be null. */
-  public record Objective(String kind, String jobClass, double withinS, double share) {}
+  public record Objective(
+      String kind, String jobClass, double withinS, double share, double times) {}
 
   /** What the workers go by. */
   public record Workers(
@@ -147,7 +148,8 @@
               text(o, "kind"),
               o.hasNonNull("class") ? text(o, "class") : null,
               number(o, "within_s", 0),
-              number(o, "share", 0)));
+              number(o, "share", 0),
+              number(o, "times", 1)));
     }
     return List.copyOf(all);
   }
--- a/src/main/java/io/violetrail/fleet/Fleet.java
+++ b/src/main/java/io/violetrail/fleet/Fleet.java
@@ -11,7 +11,6 @@
 import io.violetrail.ownership.Holding;
 import io.violetrail.ownership.Rows;
 import io.violetrail.ownership.Rows.MachineRow;
-import io.violetrail.scheduling.Dispatcher;
 import io.violetrail.scheduling.Job;
 import io.violetrail.scheduling.Placement;
 import io.violetrail.wire.Cbor;
@@ -258,7 +257,7 @@
     boolean uncertain = h.uncertain(now);
     Map<Offer, Integer> wanted = new HashMap<>();
     Map<String, Amounts> left = new HashMap<>();
-    for (Job job : Dispatcher.order(h)) {
+    for (Job job : node.dispatcher.order(h)) {
       if (job.unplaced() == 0 || job.recovered && uncertain) {
         continue;
       }
--- a/src/main/java/io/violetrail/fleet/Sharing.java
+++ b/src/main/java/io/violetrail/fleet/Sharing.java
@@ -11,7 +11,6 @@
 import io.violetrail.ownership.Rows.EntityRow;
 import io.violetrail.ownership.Rows.MachineRow;
 import io.violetrail.peer.Need;
-import io.violetrail.scheduling.Dispatcher;
 import io.violetrail.scheduling.Job;
 import io.violetrail.wire.Cbor;
 import io.violetrail.wire.StateWire.Change;
@@ -74,7 +73,7 @@
     }
     List<Need> needs = new ArrayList<>();
     boolean uncertain = h.uncertain(now);
-    for (Job job : Dispatcher.order(h)) {
+    for (Job job : node.dispatcher.order(h)) {
       int waiting = job.unplaced();
       if (waiting == 0 || job.recovered && uncertain || needs.size() >= MAX_NEEDS) {
         continue;
--- a/src/main/java/io/violetrail/scheduling/Dispatcher.java
+++ b/src/main/java/io/violetrail/scheduling/Dispatcher.java
@@ -33,6 +33,7 @@
 
   private final Node node;
   private final Preemption preemption;
+  private final Aims aims;
 
   /** Classes of jobs with accelerators that were here lately, with what their tasks take. */
   private final Map<String, Accelerated> accelerated = new HashMap<>();
@@ -44,6 +45,7 @@
   public Dispatcher(Node node) {
     this.node = node;
     this.preemption = new Preemption();
+    this.aims = new Aims(node.settings.objectives());
   }
 
   public void start() {
@@ -200,14 +202,20 @@
   }
 
   /** Open jobs, the most urgent first. */
-  public static List<Job> order(Holding h) {
+  public List<Job> order(Holding h) {
     List<Job> jobs = new ArrayList<>();
     for (Job job : h.jobs.values()) {
       if (job.phase == Job.Phase.OPEN) {
         jobs.add(job);
       }
     }
-    jobs.sort(Comparator.comparing((Job j) -> j.spec.priority()).thenComparing(j -> j.arrivedS));
+    double now = node.loop.seconds();
+    Map<Job, Double> dues = new HashMap<>();
+    jobs.forEach(job -> dues.put(job, aims.nextDueS(job, now, node.estimates.runS(job.spec))));
+    jobs.sort(
+        Comparator.comparing((Job j) -> j.spec.priority())
+            .thenComparing(dues::get)
+            .thenComparing(j -> j.arrivedS));
     return jobs;
   }
 
--- a/src/test/java/io/violetrail/fakes/World.java
+++ b/src/test/java/io/violetrail/fakes/World.java
@@ -257,7 +257,7 @@
         STATE,
         0.1,
         teams,
-        List.of(new Objective("wait", "urgent", 8, 0.9)),
+        List.of(new Objective("wait", "urgent", 8, 0.9, 1)),
         workers,
         new StateLimits(500, 200, 8192, 24),
         new CloudLimits(20, 5),
