--- a/src/main/java/io/violetrail/api/UserApi.java
+++ b/src/main/java/io/violetrail/api/UserApi.java
@@ -37,11 +37,13 @@
   private final Node node;
   private final Jobs jobs;
   private final Beats beats;
+  private final Metrics metrics;
 
   public UserApi(Node node, Jobs jobs) {
     this.node = node;
     this.jobs = jobs;
     this.beats = new Beats(node, jobs);
+    this.metrics = new Metrics(node);
   }
 
   @Override
@@ -49,7 +51,7 @@
     boolean post = "POST".equals(method);
     boolean get = "GET".equals(method);
     if (path.equals("/agent/beat")) {
-      allow(post, done, () -> beats.handle(body, done));
+      allow(post, done, () -> beats.handle(body, metrics.timed("beat", done)));
     } else if (path.equals("/ready")) {
       allow(
           get,
@@ -60,14 +62,20 @@
                       ? Answer.of(200, Cbor.map().put("status", "ready"))
                       : Answer.later("not ready")));
     } else if (path.equals(WORK)) {
-      allow(post, done, () -> submit(body, within(CHANGE_S, done)));
+      allow(post, done, () -> submit(body, metrics.timed("submit", within(CHANGE_S, done))));
     } else if (path.startsWith(WORK + "/") && path.endsWith(ABORT)) {
       String id =
           path.substring(
               WORK.length() + 1, Math.max(WORK.length() + 1, path.length() - ABORT.length()));
-      allow(post, done, () -> abort(id, within(CHANGE_S, done)));
+      allow(post, done, () -> abort(id, metrics.timed("abort", within(CHANGE_S, done))));
     } else if (path.startsWith(WORK + "/")) {
-      allow(get, done, () -> poll(path.substring(WORK.length() + 1), within(POLL_S, done)));
+      allow(
+          get,
+          done,
+          () ->
+              poll(path.substring(WORK.length() + 1), metrics.timed("poll", within(POLL_S, done))));
+    } else if (path.equals("/metrics")) {
+      allow(get, done, () -> done.accept(Answer.text(metrics.text())));
     } else {
       done.accept(Answer.empty(404));
     }
--- a/src/test/java/io/violetrail/stories/IntakeTest.java
+++ b/src/test/java/io/violetrail/stories/IntakeTest.java
@@ -114,4 +114,15 @@
     assertTrue(lost.isDone());
     world.until(90, () -> user.poll("c1", "job-12").equals("done"));
   }
+
+  @Test
+  void metricsCountWhatWasAnswered() {
+    user.submit("c0", User.job("job-13", 1));
+    String text =
+        new String(
+            user.send("c0", "GET", "/metrics", null).body(),
+            java.nio.charset.StandardCharsets.UTF_8);
+    assertTrue(text.contains("kind=submit status=201 count=1"), text);
+    assertTrue(text.contains("violetrail.lease.valid 1.0"), text);
+  }
 }
