--- a/src/main/java/io/violetrail/fleet/Fleet.java
+++ b/src/main/java/io/violetrail/fleet/Fleet.java
@@ -367,7 +367,7 @@
           Offer offer = new Offer(t.name(), zone, spot);
           if (!job.spec.allows(t.name(), zone, spot)
               || refused.containsKey(offer)
-              || !prices.worth(job.spec, t, spot, now - job.arrivedS)) {
+              || !prices.worth(job.spec, t, spot, tasks, now - job.arrivedS)) {
             continue;
           }
           double cost = t.price(spot) * time / Math.min(fit, tasks) * (1 + 0.01 * taste(offer));
--- a/src/main/java/io/violetrail/fleet/Prices.java
+++ b/src/main/java/io/violetrail/fleet/Prices.java
@@ -35,9 +35,14 @@
     return perTask(job, type, spot) / cheapest;
   }
 
-  /** Whether a task that has waited so long may keep a machine of this price for itself. */
-  public boolean worth(JobSpec job, MachineType type, boolean spot, double waitedS) {
-    return ratio(job, type, spot) <= WORTH + waitedS / WORTH_EVERY_S;
+  /**
+   * Whether tasks that have waited so long may keep a machine of this price for themselves. A dear
+   * machine pays only when enough of them share it.
+   */
+  public boolean worth(JobSpec job, MachineType type, boolean spot, int sharers, double waitedS) {
+    int fit = Math.max(1, type.size().count(job.task()));
+    double alone = ratio(job, type, spot) * fit / Math.max(1, Math.min(fit, sharers));
+    return alone <= WORTH + waitedS / WORTH_EVERY_S;
   }
 
   /** How long a machine may be idle: as much money is spent on that whatever it costs an hour. */
--- a/src/main/java/io/violetrail/fleet/Spares.java
+++ b/src/main/java/io/violetrail/fleet/Spares.java
@@ -76,7 +76,7 @@
       boolean usable =
           (m.open() || !m.row.up() && !m.returning)
               && job.allows(m.row.type(), m.row.zone(), m.row.spot());
-      if (usable && prices.worth(job, m.type, m.row.spot(), 0)) {
+      if (usable && prices.worth(job, m.type, m.row.spot(), job.tasks(), 0)) {
         Amounts room = m.room();
         for (Placement p : m.tasks.values()) {
           if (p.job.spec.priority().compareTo(job.priority()) > 0) {
--- a/src/main/java/io/violetrail/scheduling/Dispatcher.java
+++ b/src/main/java/io/violetrail/scheduling/Dispatcher.java
@@ -342,7 +342,9 @@
 
   /** A dear machine is not kept from being returned by work that could run on a cheap one. */
   private boolean affordable(Job job, Machine m, double now) {
-    if (node.prices().worth(job.spec, m.type, m.row.spot(), now - job.arrivedS)) {
+    if (node.prices()
+        .worth(
+            job.spec, m.type, m.row.spot(), job.unplaced() + m.tasks.size(), now - job.arrivedS)) {
       return true;
     }
     // It is kept by other work anyway.
