--- a/src/main/java/io/violetrail/fleet/Prices.java
+++ b/src/main/java/io/violetrail/fleet/Prices.java
@@ -7,7 +7,7 @@
 /** What a task costs on a machine, compared with what it costs where it is cheapest. */
 public final class Prices {
   /** A task that waits is worth this many times the cheapest ordinary price at once, */
-  private static final double WORTH = 4;
+  private static final double WORTH = 3;
 
   /** and once more for each of these. */
   private static final double WORTH_EVERY_S = 15;
@@ -18,21 +18,21 @@
     this.types = types;
   }
 
-  /** The hourly price of a type for one task when it is full of them. */
-  public static double perTask(JobSpec job, MachineType type, boolean spot) {
-    return type.price(spot) / Math.max(1, type.size().count(job.task()));
+  /** The hourly price of a type for each of {@code sharers} tasks, or of as many as fit. */
+  private static double perTask(JobSpec job, MachineType type, boolean spot, int sharers) {
+    return type.price(spot) / Math.max(1, Math.min(type.size().count(job.task()), sharers));
   }
 
   /** That price as a multiple of the cheapest ordinary one. */
-  public double ratio(JobSpec job, MachineType type, boolean spot) {
+  public double ratio(JobSpec job, MachineType type, boolean spot, int sharers) {
     double cheapest = Double.POSITIVE_INFINITY;
     for (MachineType t : types) {
       if (t.size().count(job.task()) > 0
           && (job.types() == null || job.types().contains(t.name()))) {
-        cheapest = Math.min(cheapest, perTask(job, t, false));
+        cheapest = Math.min(cheapest, perTask(job, t, false, sharers));
       }
     }
-    return perTask(job, type, spot) / cheapest;
+    return perTask(job, type, spot, sharers) / cheapest;
   }
 
   /**
@@ -40,9 +40,7 @@
    * machine pays only when enough of them share it.
    */
   public boolean worth(JobSpec job, MachineType type, boolean spot, int sharers, double waitedS) {
-    int fit = Math.max(1, type.size().count(job.task()));
-    double alone = ratio(job, type, spot) * fit / Math.max(1, Math.min(fit, sharers));
-    return alone <= WORTH + waitedS / WORTH_EVERY_S;
+    return ratio(job, type, spot, sharers) <= WORTH + waitedS / WORTH_EVERY_S;
   }
 
   /** How long a machine may be idle: as much money is spent on that whatever it costs an hour. */
--- a/src/main/java/io/violetrail/scheduling/Dispatcher.java
+++ b/src/main/java/io/violetrail/scheduling/Dispatcher.java
@@ -374,7 +374,8 @@
     Amounts size = m.type.size();
     Amounts rest = room.minus(job.spec.task());
     double score =
-        rest.cpus() / size.cpus() + 0.6 * node.prices().ratio(job.spec, m.type, m.row.spot());
+        rest.cpus() / size.cpus()
+            + 0.6 * node.prices().ratio(job.spec, m.type, m.row.spot(), Integer.MAX_VALUE);
     if (size.gpus() > 0) {
       score += job.spec.task().gpus() > 0 ? rest.gpus() / size.gpus() : 1;
     }
