--- a/src/main/java/io/violetrail/api/Jobs.java
+++ b/src/main/java/io/violetrail/api/Jobs.java
@@ -272,8 +272,7 @@
 
   /** A task of the job is done: store that, in time, and close the job after the last one. */
   public void progressed(Holding h, Job job) {
-    if (job.phase != Job.Phase.OPEN
-        || job.spec.shape() == io.violetrail.model.Shape.SERVICE && !job.complete()) {
+    if (job.phase != Job.Phase.OPEN) {
       return;
     }
     if (job.complete()) {
--- a/src/main/java/io/violetrail/fleet/Sharing.java
+++ b/src/main/java/io/violetrail/fleet/Sharing.java
@@ -89,17 +89,18 @@
     if (!needs.isEmpty()) {
       askedS = now;
       node.peers.askFor(h.entity(), needs);
+      asked(h.entity(), needs);
     }
   }
 
-  /** A peer's entity lacks something: what is idle here and not needed goes there. */
+  /** Another entity, a peer's or one held here too, lacks something: what is idle goes there. */
   public void asked(ControllerId to, List<Need> needs) {
     EntityRow target = node.directory.entity(to);
-    if (target == null || !node.membership.valid() || node.membership.holding(to) != null) {
+    if (target == null || !node.membership.valid()) {
       return;
     }
     for (Holding h : node.membership.holdings()) {
-      if (h.active()) {
+      if (h.active() && !h.entity().equals(to)) {
         for (Need need : needs) {
           if (need.slice()) {
             giveSlice(h, to, need);
@@ -111,7 +112,6 @@
     }
   }
 
-  /** Entities held here share directly, as if each were a peer of the other. */
   private void giveMachines(Holding h, EntityRow target, Need need) {
     if (wantedHere(h, need)) {
       return;
@@ -179,6 +179,7 @@
                     next.term());
                 h.machines.remove(m.id(), m);
                 node.learned(next.stamped(outcome.revision()));
+                node.changed();
               } else if (failure == null
                   && outcome.failed().size() == 1
                   && outcome.failed().contains(Rows.entity(target.entity()))) {
--- a/src/main/java/io/violetrail/worker/Beats.java
+++ b/src/main/java/io/violetrail/worker/Beats.java
@@ -4,6 +4,7 @@
 import io.violetrail.fleet.Machine;
 import io.violetrail.model.Amounts;
 import io.violetrail.model.ControllerId;
+import io.violetrail.model.Shape;
 import io.violetrail.model.TaskId;
 import io.violetrail.model.Version;
 import io.violetrail.net.Service.Answer;
@@ -262,7 +263,9 @@
     int index = piece.task().index();
     Placement p = m.tasks.get(piece.task());
     boolean current = p != null && p.attempt == piece.attempt() && !p.revocable();
-    if (piece.why() == Why.DONE && !job.done.get(index)) {
+    // A replica is never done: one that ends is started again.
+    boolean done = piece.why() == Why.DONE && job.spec.shape() != Shape.SERVICE;
+    if (done && !job.done.get(index)) {
       job.done.set(index);
       m.failures = 0;
       m.failedJobs.clear();
--- a/src/test/java/io/violetrail/stories/FailureTest.java
+++ b/src/test/java/io/violetrail/stories/FailureTest.java
@@ -307,4 +307,32 @@
     assertEquals(503, user.send("c0", "GET", "/ready", null).status());
     assertEquals(new ControllerId("c0"), world.nodes.get("c0").settings.self());
   }
+
+  @Test
+  void aReplicaThatEndsIsStartedAgainUntilItsJobIsCancelled() {
+    world.up();
+    user.submit("c0", User.job("job-1", 1).put("shape", "daemon").put("guess_s", 0.0));
+    world.until(90, () -> world.cloud.workers.values().stream().mapToInt(x -> x.launches).sum() >= 2);
+    assertEquals("running", user.poll("c1", "job-1"));
+    assertEquals("cancelled", user.abort("c1", "job-1"));
+    world.run(4);
+    assertEquals(List.of(), world.cloud.running("job-1/0"));
+  }
+
+  @Test
+  void entitiesOfOneOwnerShareTheirIdleMachines() {
+    world.cloud.capacity = 0;
+    world.up();
+    FakeWorker only = world.cloud.given("plain", "a");
+    world.run(4);
+    user.submit("c1", User.job("job-1", 2));
+    world.run(6);
+    for (String dead : List.of("c1", "c2")) {
+      world.kill(dead);
+    }
+    user.submit("c0", User.job("job-2", 8));
+    world.until(150, () -> user.poll("c0", "job-2").equals("done"));
+    world.until(150, () -> user.poll("c0", "job-1").equals("done"));
+    assertTrue(only.launches >= 10);
+  }
 }
