--- a/src/test/java/io/violetrail/stories/FailureTest.java
+++ b/src/test/java/io/violetrail/stories/FailureTest.java
@@ -312,7 +312,8 @@
   void aReplicaThatEndsIsStartedAgainUntilItsJobIsCancelled() {
     world.up();
     user.submit("c0", User.job("job-1", 1).put("shape", "daemon").put("guess_s", 0.0));
-    world.until(90, () -> world.cloud.workers.values().stream().mapToInt(x -> x.launches).sum() >= 2);
+    world.until(
+        90, () -> world.cloud.workers.values().stream().mapToInt(x -> x.launches).sum() >= 2);
     assertEquals("running", user.poll("c1", "job-1"));
     assertEquals("cancelled", user.abort("c1", "job-1"));
     world.run(4);
