Give workers time to find a new owner past every dead controller

A story with two dead controllers showed it: the worker tried both first, and its machine was returned as unheard while its tasks still ran.

--- a/src/main/java/io/violetrail/fleet/Fleet.java
+++ b/src/main/java/io/violetrail/fleet/Fleet.java
@@ -171,6 +171,13 @@
                     && Spares.room(e.getKey(), others, prices) < e.getValue());
   }
 
+  /** How long a worker may need to find a new owner, trying dead controllers on its way. */
+  private double findsUsS() {
+    long dead =
+        node.settings.peers().keySet().stream().filter(p -> !node.directory.isAlive(p)).count();
+    return UNHEARD_S * Math.max(1, dead) + 2 * node.settings.workers().reportS();
+  }
+
   private boolean ofNoUse(Machine m, double now) {
     if (m.promised) {
       return false;
@@ -178,7 +185,7 @@
     if (!m.row.up()) {
       return now - m.rentedS > Math.max(60, 3 * m.type.bootS() + 20);
     }
-    if (m.uncertain(now) && now - m.heardS > UNHEARD_S + 2 * node.settings.workers().reportS()) {
+    if (m.uncertain(now) && now - m.heardS > findsUsS()) {
       // Everything recovered waits for what it may hold, and the cloud's answer settles that.
       return true;
     }
