--- a/src/main/java/io/violetrail/wire/CloudWire.java
+++ b/src/main/java/io/violetrail/wire/CloudWire.java
@@ -14,14 +14,9 @@
 public final class CloudWire {
   public static final int MAX_HIRE = 50;
   public static final int MAX_RETURN = 100;
-  public static final int MAX_LIST = 500;
 
   private CloudWire() {}
 
-  /** A machine in the cloud's list, which lags. */
-  public record Listed(
-      MachineId id, String type, String zone, boolean spot, String status, double ageS) {}
-
   public static List<MachineType> types(JsonNode m) throws Malformed {
     List<MachineType> all = new ArrayList<>();
     JsonNode list = Cbor.present(m, "hosttypes");
@@ -85,26 +80,4 @@
     }
     return names.stream().map(MachineId::new).toList();
   }
-
-  public static List<Listed> listed(JsonNode m) throws Malformed {
-    List<Listed> all = new ArrayList<>();
-    JsonNode list = Cbor.present(m, "hosts");
-    if (list != null) {
-      for (JsonNode h : list) {
-        all.add(
-            new Listed(
-                new MachineId(Cbor.text(h, "name_id")),
-                Cbor.text(h, "hosttype"),
-                Cbor.text(h, "yard"),
-                Cbor.flag(h, "loaners"),
-                Cbor.text(h, "status"),
-                Cbor.amount(h, "age_s")));
-      }
-    }
-    return all;
-  }
-
-  public static boolean more(JsonNode m) {
-    return m.path("truncated").asBoolean(false);
-  }
 }
