--- a/src/main/java/io/violetrail/fleet/Prices.java
+++ b/src/main/java/io/violetrail/fleet/Prices.java
@@ -43,9 +43,9 @@
     return ratio(job, type, spot, sharers) <= WORTH + waitedS / WORTH_EVERY_S;
   }
 
-  /** How long a machine may be idle: as much money is spent on that whatever it costs an hour. */
+  /** How long a machine may be idle: the less, the more it costs an hour. */
   public double idleS(MachineType type, boolean spot, double idleS) {
     double cheapest = types.stream().mapToDouble(MachineType::price).min().orElse(type.price());
-    return Math.max(idleS / 10, Math.min(idleS * 4, idleS * cheapest / type.price(spot)));
+    return Math.max(idleS / 10, Math.min(idleS, idleS * cheapest / type.price(spot)));
   }
 }
