Sharpen two stories: one assertion could not fail, one allowed what it guards against

The late transaction is now seen to be late; a worker kept through an outage must still have its task. Settings of run times that had no effect are gone.

--- a/src/test/java/io/violetrail/stories/FailureTest.java
+++ b/src/test/java/io/violetrail/stories/FailureTest.java
@@ -37,7 +37,6 @@
     world.up();
     user.submit("c0", User.job("job-1", 3));
     FakeWorker w = runs("job-1/0");
-    w.runs.clear();
     int launched = w.launches;
     world.kill("c0");
     world.run(9);
@@ -94,10 +93,9 @@
     world.up();
     user.submit("c0", User.job("job-1", 1));
     FakeWorker w = runs("job-1/0");
-    w.runs.put("job-1/0", 300.0);
     world.state.outage(true);
     world.run(15);
-    assertTrue(w.has("job-1/0") || world.cloud.running("job-1/0").size() == 0 && w.launches == 1);
+    assertTrue(w.has("job-1/0"));
     int launches = world.cloud.workers.values().stream().mapToInt(x -> x.launches).sum();
     assertEquals(503, user.submit("c0", User.job("job-2", 1)));
     world.run(3);
@@ -114,7 +112,6 @@
     // Cut off from the state service and its peers, but not from its workers.
     world.state.refusedFor.add("c0");
     world.hold(m -> m.startsWith("c0 c") && m.contains("/peer") || m.contains(" c0 POST /peer"));
-    w.runs.clear();
     world.run(45);
     assertNull(world.nodes.get("c0").membership.own());
   }
@@ -166,15 +163,13 @@
   void aLateTransactionOfAFormerOwnerIsRefused() {
     world.up();
     world.hold(m -> m.startsWith("c0 state POST /txn"));
-    var late =
-        world.ask(
-            "user", "c0", "POST", "/work", io.violetrail.wire.Cbor.bytes(User.job("job-1", 1)));
+    world.ask("user", "c0", "POST", "/work", io.violetrail.wire.Cbor.bytes(User.job("job-1", 1)));
     world.run(1);
+    assertTrue(world.heldBack() > 0);
     world.kill("c0");
     world.run(8);
     world.release();
     world.run(1);
-    assertTrue(late.isDone() || world.now() > 0);
     assertNull(world.state.value("job/job-1"));
     assertEquals("404", user.poll("c1", "job-1"));
   }
