--- a/src/main/java/io/violetrail/api/Jobs.java
+++ b/src/main/java/io/violetrail/api/Jobs.java
@@ -4,13 +4,13 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.cache.Cache;
 import com.google.common.cache.CacheBuilder;
-import io.violetrail.node.Node;
 import io.violetrail.model.Amounts;
 import io.violetrail.model.ControllerId;
 import io.violetrail.model.JobId;
 import io.violetrail.model.JobSpec;
 import io.violetrail.model.JobView;
 import io.violetrail.model.JobView.Status;
+import io.violetrail.node.Node;
 import io.violetrail.ownership.Holding;
 import io.violetrail.ownership.Rows;
 import io.violetrail.scheduling.Job;
@@ -41,8 +41,10 @@
 
   private final Node node;
   private final int chunk;
-  private final Cache<JobId, Known> terminal = CacheBuilder.newBuilder().maximumSize(REMEMBERED).build();
-  private final Cache<JobId, ControllerId> bound = CacheBuilder.newBuilder().maximumSize(REMEMBERED).build();
+  private final Cache<JobId, Known> terminal =
+      CacheBuilder.newBuilder().maximumSize(REMEMBERED).build();
+  private final Cache<JobId, ControllerId> bound =
+      CacheBuilder.newBuilder().maximumSize(REMEMBERED).build();
   private final Set<JobId> lookingUp = new HashSet<>();
 
   public Jobs(Node node) {
@@ -54,7 +56,10 @@
   /** A job that is over, or bound to another entity ({@code view} is null then). */
   public record Known(JobView view, ControllerId entity, Amounts amounts) {}
 
-  /** What a look-up came to: a job's view, proven absence (null view), or its binding to an open entity. */
+  /**
+   * What a look-up came to: a job's view, proven absence (null view), or its binding to an open
+   * entity.
+   */
   public record Found(JobView view, ControllerId openAt, JobView asStored) {
     boolean absent() {
       return view == null && openAt == null;
@@ -70,7 +75,10 @@
     return bound.getIfPresent(id);
   }
 
-  /** For a worker's task whose job is not open here: what is known; null while it is being looked up. */
+  /**
+   * For a worker's task whose job is not open here: what is known; null while it is being looked
+   * up.
+   */
   public Known known(Holding holding, JobId id) {
     Known known = terminal.getIfPresent(id);
     if (known != null) {
@@ -86,12 +94,18 @@
                   return;
                 }
                 Found found = found(id, entry);
-                if (found.absent() || found.openAt() != null && !found.openAt().equals(holding.entity())) {
-                  LOG.info("a worker of entity {} has a task of {}, which is not of this entity", holding.entity(), id);
+                if (found.absent()
+                    || found.openAt() != null && !found.openAt().equals(holding.entity())) {
+                  LOG.info(
+                      "a worker of entity {} has a task of {}, which is not of this entity",
+                      holding.entity(),
+                      id);
                   if (found.absent()) {
                     terminal.put(id, new Known(null, holding.entity(), Amounts.NONE));
                   }
-                } else if (found.openAt() != null && holding.active() && !holding.jobs.containsKey(id)) {
+                } else if (found.openAt() != null
+                    && holding.active()
+                    && !holding.jobs.containsKey(id)) {
                   reload(holding, id);
                 }
               });
@@ -111,7 +125,8 @@
     JsonNode v = entry.value();
     ControllerId entity = new ControllerId(v.path("entity").asText());
     if (v.has("end")) {
-      JobView view = new JobView(id.value(), Status.valueOf(v.get("end").asText()), v.path("done").asInt(), 0);
+      JobView view =
+          new JobView(id.value(), Status.valueOf(v.get("end").asText()), v.path("done").asInt(), 0);
       remember(view, entity, amounts(v));
       return new Found(view, null, null);
     }
@@ -124,12 +139,15 @@
   }
 
   private static Amounts amounts(JsonNode v) {
-    return new Amounts(v.path("cpus").asDouble(), v.path("gpus").asDouble(), v.path("memory").asDouble());
+    return new Amounts(
+        v.path("cpus").asDouble(), v.path("gpus").asDouble(), v.path("memory").asDouble());
   }
 
   private static ObjectNode row(ControllerId entity, JobSpec s) {
     ObjectNode m = Cbor.map().put("entity", entity.value());
-    return m.put("cpus", s.task().cpus()).put("gpus", s.task().gpus()).put("memory", s.task().memoryGb());
+    return m.put("cpus", s.task().cpus())
+        .put("gpus", s.task().gpus())
+        .put("memory", s.task().memoryGb());
   }
 
   /** Stores a new job. True: it is this entity's now. False: the id is taken already. */
@@ -144,7 +162,8 @@
             .set(Rows.job(spec.id()), row(h.entity(), spec))
             .set(Rows.openJob(h.entity(), spec.id()), open);
     CompletableFuture<Boolean> result = new CompletableFuture<>();
-    // An answer that never came leaves the outcome open; it is repeated until certain, so that no job
+    // An answer that never came leaves the outcome open; it is repeated until certain, so that no
+    // job
     // is stored without its owner knowing of it.
     node.store
         .settle(txn)
@@ -159,7 +178,12 @@
                   node.fleet.spares.arrived(spec, nowS);
                   node.dispatcher.wake();
                 }
-                LOG.info("job {} accepted by entity {} version {}: {} tasks", spec.id(), h.entity(), h.row.version(), spec.tasks());
+                LOG.info(
+                    "job {} accepted by entity {} version {}: {} tasks",
+                    spec.id(),
+                    h.entity(),
+                    h.row.version(),
+                    spec.tasks());
                 result.complete(true);
               } else if (outcome.failed().contains(Rows.job(spec.id()))) {
                 if (!h.jobs.containsKey(spec.id())) {
@@ -181,7 +205,9 @@
             (found, failure) -> {
               if (failure != null) {
                 node.loop.after(1, () -> recover(h, id));
-              } else if (h.entity().equals(found.openAt()) && h.active() && !h.jobs.containsKey(id)) {
+              } else if (h.entity().equals(found.openAt())
+                  && h.active()
+                  && !h.jobs.containsKey(id)) {
                 reload(h, id);
               }
             });
@@ -195,7 +221,14 @@
               if (failure != null) {
                 node.loop.after(1, () -> reload(h, id));
               } else if (h.active() && !h.jobs.containsKey(id)) {
-                load(h, listing.entries().stream().filter(e -> e.key().equals(Rows.openJob(h.entity(), id)) || e.key().startsWith(Rows.openJob(h.entity(), id) + "/")).toList());
+                load(
+                    h,
+                    listing.entries().stream()
+                        .filter(
+                            e ->
+                                e.key().equals(Rows.openJob(h.entity(), id))
+                                    || e.key().startsWith(Rows.openJob(h.entity(), id) + "/"))
+                        .toList());
                 node.dispatcher.wake();
               }
             });
@@ -212,7 +245,12 @@
       if (slash < 0) {
         try {
           long arrived = e.value().path("arrived").asLong();
-          Job job = new Job(JobWire.spec(e.value().path("spec")), arrived, nowS - Math.max(0, nowMs - arrived) / 1000.0, true);
+          Job job =
+              new Job(
+                  JobWire.spec(e.value().path("spec")),
+                  arrived,
+                  nowS - Math.max(0, nowMs - arrived) / 1000.0,
+                  true);
           h.jobs.put(job.spec.id(), job);
           bound.put(job.spec.id(), h.entity());
         } catch (Malformed m) {
@@ -234,13 +272,16 @@
 
   /** A task of the job is done: store that, in time, and close the job after the last one. */
   public void progressed(Holding h, Job job) {
-    if (job.phase != Job.Phase.OPEN || job.spec.shape() == io.violetrail.model.Shape.SERVICE && !job.complete()) {
+    if (job.phase != Job.Phase.OPEN
+        || job.spec.shape() == io.violetrail.model.Shape.SERVICE && !job.complete()) {
       return;
     }
     if (job.complete()) {
       job.phase = Job.Phase.CLOSING;
       job.write(() -> end(h, job, Status.DONE));
-    } else if (!job.writing() && job.stored.cardinality() < job.done.cardinality() && node.loop.seconds() - job.flushedS > FLUSH_S) {
+    } else if (!job.writing()
+        && job.stored.cardinality() < job.done.cardinality()
+        && node.loop.seconds() - job.flushedS > FLUSH_S) {
       job.flushedS = node.loop.seconds();
       job.write(() -> flush(h, job));
     }
@@ -254,7 +295,9 @@
     BitSet fresh = (BitSet) now.clone();
     fresh.andNot(job.stored);
     Txn txn = h.fenced();
-    for (int k = 0; k * chunk < job.spec.tasks() && txn.writes() < node.settings.stateLimits().txnOps(); k++) {
+    for (int k = 0;
+        k * chunk < job.spec.tasks() && txn.writes() < node.settings.stateLimits().txnOps();
+        k++) {
       int from = k * chunk;
       int to = Math.min(from + chunk, job.spec.tasks());
       int first = fresh.nextSetBit(from);
@@ -283,7 +326,8 @@
       return CompletableFuture.completedFuture(true);
     }
     JobId id = job.spec.id();
-    ObjectNode row = row(h.entity(), job.spec).put("end", status.name()).put("done", job.done.cardinality());
+    ObjectNode row =
+        row(h.entity(), job.spec).put("end", status.name()).put("done", job.done.cardinality());
     Txn txn = h.fenced().set(Rows.job(id), row).drop(Rows.openJob(h.entity(), id));
     List<String> progress = new ArrayList<>();
     for (int k = 0; k * chunk < job.spec.tasks(); k++) {
@@ -317,7 +361,10 @@
     job.phase = Job.Phase.OVER;
     job.end = status;
     job.stored.or(job.done);
-    remember(new JobView(job.spec.id().value(), status, job.done.cardinality(), 0), h.entity(), job.spec.task());
+    remember(
+        new JobView(job.spec.id().value(), status, job.done.cardinality(), 0),
+        h.entity(),
+        job.spec.task());
     LOG.info("job {} of entity {} is {}", job.spec.id(), h.entity(), status);
     stop(h, job);
     if (job.placed.isEmpty()) {
@@ -335,7 +382,9 @@
     }
   }
 
-  /** Cancels an open job of a held entity; completes with what the user is to be told, once stored. */
+  /**
+   * Cancels an open job of a held entity; completes with what the user is to be told, once stored.
+   */
   public CompletableFuture<JobView> cancel(Holding h, Job job) {
     CompletableFuture<JobView> told = new CompletableFuture<>();
     if (job.phase == Job.Phase.OPEN) {
--- a/src/main/java/io/violetrail/api/UserApi.java
+++ b/src/main/java/io/violetrail/api/UserApi.java
@@ -11,10 +11,10 @@
 import io.violetrail.net.Service;
 import io.violetrail.node.Node;
 import io.violetrail.ownership.Holding;
-import io.violetrail.worker.Beats;
 import io.violetrail.wire.Cbor;
 import io.violetrail.wire.Cbor.Malformed;
 import io.violetrail.wire.JobWire;
+import io.violetrail.worker.Beats;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
@@ -51,11 +51,20 @@
     if (path.equals("/agent/beat")) {
       allow(post, done, () -> beats.handle(body, done));
     } else if (path.equals("/ready")) {
-      allow(get, done, () -> done.accept(node.ready() ? Answer.of(200, Cbor.map().put("status", "ready")) : Answer.later("not ready")));
+      allow(
+          get,
+          done,
+          () ->
+              done.accept(
+                  node.ready()
+                      ? Answer.of(200, Cbor.map().put("status", "ready"))
+                      : Answer.later("not ready")));
     } else if (path.equals(WORK)) {
       allow(post, done, () -> submit(body, within(CHANGE_S, done)));
     } else if (path.startsWith(WORK + "/") && path.endsWith(ABORT)) {
-      String id = path.substring(WORK.length() + 1, Math.max(WORK.length() + 1, path.length() - ABORT.length()));
+      String id =
+          path.substring(
+              WORK.length() + 1, Math.max(WORK.length() + 1, path.length() - ABORT.length()));
       allow(post, done, () -> abort(id, within(CHANGE_S, done)));
     } else if (path.startsWith(WORK + "/")) {
       allow(get, done, () -> poll(path.substring(WORK.length() + 1), within(POLL_S, done)));
@@ -75,11 +84,14 @@
   /** Answers at most once, and in time. */
   private Consumer<Answer> within(double seconds, Consumer<Answer> done) {
     AtomicBoolean answered = new AtomicBoolean();
-    var timer = node.loop.after(seconds, () -> {
-      if (answered.compareAndSet(false, true)) {
-        done.accept(Answer.later("no decision in time"));
-      }
-    });
+    var timer =
+        node.loop.after(
+            seconds,
+            () -> {
+              if (answered.compareAndSet(false, true)) {
+                done.accept(Answer.later("no decision in time"));
+              }
+            });
     return answer -> {
       if (answered.compareAndSet(false, true)) {
         timer.cancel();
@@ -95,7 +107,10 @@
         throw new Malformed("the body is too long");
       }
       var map = Cbor.parse(body);
-      JobId id = JobId.wellFormed(map.path("name_id").asText(null)) ? new JobId(map.get("name_id").asText()) : null;
+      JobId id =
+          JobId.wellFormed(map.path("name_id").asText(null))
+              ? new JobId(map.get("name_id").asText())
+              : null;
       if (id != null && (jobs.terminalView(id) != null || jobs.boundTo(id) != null)) {
         answerKnown(id, done);
         return;
@@ -133,7 +148,9 @@
               if (failure != null) {
                 done.accept(Answer.later("the job could not be stored"));
               } else if (fresh) {
-                done.accept(Answer.of(201, JobWire.view(new JobView(spec.id().value(), Status.QUEUED, 0, 0))));
+                done.accept(
+                    Answer.of(
+                        201, JobWire.view(new JobView(spec.id().value(), Status.QUEUED, 0, 0))));
               } else {
                 answerKnown(spec.id(), done);
               }
@@ -158,7 +175,11 @@
   private void answerKnown(JobId id, Consumer<Answer> done) {
     resolve(id)
         .whenComplete(
-            (view, failure) -> done.accept(failure != null || view == null ? Answer.later("the job's state is not known now") : Answer.of(200, JobWire.view(view))));
+            (view, failure) ->
+                done.accept(
+                    failure != null || view == null
+                        ? Answer.later("the job's state is not known now")
+                        : Answer.of(200, JobWire.view(view))));
   }
 
   /** Why a job can never run; null if it can. */
@@ -169,13 +190,17 @@
     }
     boolean fits = false;
     for (MachineType t : node.types().values()) {
-      fits |= (s.types() == null || s.types().contains(t.name())) && (s.zone() == null || t.zones().contains(s.zone())) && s.task().fitsIn(t.size());
+      fits |=
+          (s.types() == null || s.types().contains(t.name()))
+              && (s.zone() == null || t.zones().contains(s.zone()))
+              && s.task().fitsIn(t.size());
     }
     if (!fits) {
       return "a task fits no allowed machine type";
     }
     double tasks = s.shape() == Shape.ARRAY ? 1 : s.tasks();
-    if (s.task().cpus() * tasks > team.cpusMax() + 1e-6 || s.task().gpus() * tasks > team.gpusMax() + 1e-6) {
+    if (s.task().cpus() * tasks > team.cpusMax() + 1e-6
+        || s.task().gpus() * tasks > team.gpusMax() + 1e-6) {
       return "the job needs more than the team's limit";
     }
     return null;
@@ -219,12 +244,15 @@
               });
     }
     return fromOwner(id, entity)
-        .handle((view, failure) -> failure == null ? CompletableFuture.completedFuture(view) : stored(id))
+        .handle(
+            (view, failure) ->
+                failure == null ? CompletableFuture.completedFuture(view) : stored(id))
         .thenCompose(f -> f);
   }
 
   private CompletableFuture<JobView> stored(JobId id) {
-    return jobs.lookUp(id).thenApply(found -> found.view() != null ? found.view() : found.asStored());
+    return jobs.lookUp(id)
+        .thenApply(found -> found.view() != null ? found.view() : found.asStored());
   }
 
   private CompletableFuture<JobView> fromOwner(JobId id, ControllerId entity) {
@@ -272,12 +300,13 @@
   }
 
   private static void answer(CompletableFuture<JobView> view, Consumer<Answer> done) {
-    view.whenComplete((v, failure) -> {
-      if (failure != null || !v.status().terminal()) {
-        done.accept(Answer.later("the cancellation is not stored yet"));
-      } else {
-        done.accept(Answer.of(200, JobWire.view(v)));
-      }
-    });
+    view.whenComplete(
+        (v, failure) -> {
+          if (failure != null || !v.status().terminal()) {
+            done.accept(Answer.later("the cancellation is not stored yet"));
+          } else {
+            done.accept(Answer.of(200, JobWire.view(v)));
+          }
+        });
   }
 }
--- a/src/main/java/io/violetrail/cli/Main.java
+++ b/src/main/java/io/violetrail/cli/Main.java
@@ -40,22 +40,28 @@
   @Option(
       names = "--lapse-s",
       defaultValue = "${env:VIOLETRAIL_LAPSE_S}",
-      description = "a controller's lease in seconds (VIOLETRAIL_LAPSE_S); default: from the workers' lease")
+      description =
+          "a controller's lease in seconds (VIOLETRAIL_LAPSE_S); default: from the workers' lease")
   private Double lapseS;
 
   @Option(
       names = "--idle-s",
       defaultValue = "${env:VIOLETRAIL_IDLE_S:-90}",
-      description = "how long a machine may be idle before it is returned (VIOLETRAIL_IDLE_S); default: ${DEFAULT-VALUE}")
+      description =
+          "how long a machine may be idle before it is returned (VIOLETRAIL_IDLE_S); default: ${DEFAULT-VALUE}")
   private double idleS;
 
   @Option(
       names = "--sample",
       defaultValue = "${env:VIOLETRAIL_SAMPLE:-8}",
-      description = "machines compared for each task (VIOLETRAIL_SAMPLE); default: ${DEFAULT-VALUE}")
+      description =
+          "machines compared for each task (VIOLETRAIL_SAMPLE); default: ${DEFAULT-VALUE}")
   private int sample;
 
-  @Option(names = "--rehearse", hidden = true, description = "loads the daemon's classes for the class-data archive, and ends")
+  @Option(
+      names = "--rehearse",
+      hidden = true,
+      description = "loads the daemon's classes for the class-data archive, and ends")
   private boolean rehearse;
 
   /** Reads the version from the jar's manifest. */
@@ -103,7 +109,8 @@
         throw new Settings.Invalid("--config FILE is required");
       }
       if (sample < 1 || idleS < 0 || lapseS != null && !(lapseS >= 1)) {
-        throw new Settings.Invalid("--sample must be at least 1, --idle-s at least 0 and --lapse-s at least 1");
+        throw new Settings.Invalid(
+            "--sample must be at least 1, --idle-s at least 0 and --lapse-s at least 1");
       }
       settings = Settings.load(config);
     } catch (Settings.Invalid e) {
@@ -147,7 +154,8 @@
           node.start();
           UndertowServer.start(settings.api(), node.api, loop, worker, buffers);
           UndertowServer.start(settings.listen(), node.peerService(), loop, worker, buffers);
-          LoggerFactory.getLogger(Main.class).info("{} serves at {}", settings.self(), settings.api());
+          LoggerFactory.getLogger(Main.class)
+              .info("{} serves at {}", settings.self(), settings.api());
         });
     return new Running(loop, http);
   }
--- a/src/main/java/io/violetrail/cli/Rehearsal.java
+++ b/src/main/java/io/violetrail/cli/Rehearsal.java
@@ -18,8 +18,8 @@
 import java.util.function.Consumer;
 
 /**
- * Runs a controller for a moment against services that answer from a script, all in this process, so
- * that the build can archive the classes a start needs. Takes no part in serving.
+ * Runs a controller for a moment against services that answer from a script, all in this process,
+ * so that the build can archive the classes a start needs. Takes no part in serving.
  */
 final class Rehearsal {
   private static final double FOR_S = 2.5;
@@ -80,41 +80,105 @@
     Main.Running controller = Main.start(settings, Options.DEFAULTS, null);
     Main.start(
         new Settings(
-            settings.self(), "z", settings.cloud(), settings.state(), settings.peers(), settings.cloud(), settings.state(), 0,
-            settings.teams(), settings.objectives(), settings.workers(), settings.stateLimits(), settings.cloudLimits(), settings.limits()),
-        Options.DEFAULTS, Rehearsal::script);
+            settings.self(),
+            "z",
+            settings.cloud(),
+            settings.state(),
+            settings.peers(),
+            settings.cloud(),
+            settings.state(),
+            0,
+            settings.teams(),
+            settings.objectives(),
+            settings.workers(),
+            settings.stateLimits(),
+            settings.cloudLimits(),
+            settings.limits()),
+        Options.DEFAULTS,
+        Rehearsal::script);
     JobSpec spec =
         new JobSpec(
-            new JobId("job-1"), "c", "t", Shape.ARRAY, Priority.HIGH, 2, new Amounts(1, 0, 1), "i", 1, null, null, false, false, true, 10, 0,
-            0, null);
+            new JobId("job-1"),
+            "c",
+            "t",
+            Shape.ARRAY,
+            Priority.HIGH,
+            2,
+            new Amounts(1, 0, 1),
+            "i",
+            1,
+            null,
+            null,
+            false,
+            false,
+            true,
+            10,
+            0,
+            0,
+            null);
     Peers.rehearse(spec);
-    controller.loop().after(1, () -> {
-      for (String path : new String[] {"/ready", "/work/job-1", "/work/job-2", "/metrics"}) {
-        controller.http().call(settings.api(), "GET", path, null, 1);
-      }
-      controller.http().call(settings.api(), "POST", "/work", Cbor.bytes(JobWire.spec(spec)), 1);
-      controller.http().call(settings.api(), "POST", "/agent/beat", Cbor.bytes(beat(1)), 1);
-    });
-    controller.loop().after(1.6, () -> controller.http().call(settings.api(), "POST", "/agent/beat", Cbor.bytes(beat(2)), 1));
-    controller.loop().after(2, () -> controller.http().call(settings.api(), "POST", "/work/job-1/abort", Cbor.bytes(Cbor.map()), 1));
+    controller
+        .loop()
+        .after(
+            1,
+            () -> {
+              for (String path :
+                  new String[] {"/ready", "/work/job-1", "/work/job-2", "/metrics"}) {
+                controller.http().call(settings.api(), "GET", path, null, 1);
+              }
+              controller
+                  .http()
+                  .call(settings.api(), "POST", "/work", Cbor.bytes(JobWire.spec(spec)), 1);
+              controller.http().call(settings.api(), "POST", "/agent/beat", Cbor.bytes(beat(1)), 1);
+            });
+    controller
+        .loop()
+        .after(
+            1.6,
+            () ->
+                controller
+                    .http()
+                    .call(settings.api(), "POST", "/agent/beat", Cbor.bytes(beat(2)), 1));
+    controller
+        .loop()
+        .after(
+            2,
+            () ->
+                controller
+                    .http()
+                    .call(settings.api(), "POST", "/work/job-1/abort", Cbor.bytes(Cbor.map()), 1));
     Thread.sleep((long) (FOR_S * 1000));
     System.exit(0);
     return 0;
   }
 
   private static JsonNode beat(int seq) {
-    var m = Cbor.map().put("host", "vm-1").put("hosttype", "t").put("yard", "z").put("loaners", false);
+    var m =
+        Cbor.map().put("host", "vm-1").put("hosttype", "t").put("yard", "z").put("loaners", false);
     m.put("tenure", 1).put("tick", seq).put("baton", seq == 1 ? 0 : 100).putArray("pieces");
     return m;
   }
 
-  private static void script(String method, String path, byte[] body, Consumer<Service.Answer> done) {
+  private static void script(
+      String method, String path, byte[] body, Consumer<Service.Answer> done) {
     var m = Cbor.map().put("epoch", ++revision).put("hold", 7);
     m.putArray("entries");
     m.putArray("log");
     if (path.equals("/flavors")) {
-      var type = m.putArray("hosttypes").addObject().put("sku", "t").put("cores", 4).put("gpus", 0).put("mem_gb", 8).put("cache_gb", 9);
-      type.put("pull_gb_per_s", 1).put("rate", 1).put("spot_price", 1).put("ready_s", 5).putArray("yards").add("z");
+      var type =
+          m.putArray("hosttypes")
+              .addObject()
+              .put("sku", "t")
+              .put("cores", 4)
+              .put("gpus", 0)
+              .put("mem_gb", 8)
+              .put("cache_gb", 9);
+      type.put("pull_gb_per_s", 1)
+          .put("rate", 1)
+          .put("spot_price", 1)
+          .put("ready_s", 5)
+          .putArray("yards")
+          .add("z");
     } else if (path.equals("/hosts")) {
       m.putArray("hosts").add("vm-9");
     } else if (path.startsWith("/keys/")) {
--- a/src/main/java/io/violetrail/cloud/CloudClient.java
+++ b/src/main/java/io/violetrail/cloud/CloudClient.java
@@ -61,7 +61,8 @@
             });
   }
 
-  public CompletableFuture<Hired> hire(String name, String type, String zone, boolean spot, int count) {
+  public CompletableFuture<Hired> hire(
+      String name, String type, String zone, boolean spot, int count) {
     return send("POST", "/hosts", Cbor.bytes(CloudWire.hire(name, type, zone, spot, count)))
         .handle(
             (r, failure) -> {
@@ -69,7 +70,9 @@
                 if (failure == null && r.ok()) {
                   return new Hired(Rental.DONE, CloudWire.hired(Cbor.parse(r.body())));
                 }
-                if (failure == null && (r.status() == 400 || r.status() == 503 && noCapacity(Cbor.parse(r.body())))) {
+                if (failure == null
+                    && (r.status() == 400
+                        || r.status() == 503 && noCapacity(Cbor.parse(r.body())))) {
                   return new Hired(Rental.NO_CAPACITY, List.of());
                 }
               } catch (Malformed e) {
@@ -85,19 +88,23 @@
 
   /** True once the machines are gone for certain. */
   public CompletableFuture<Boolean> giveBack(Collection<MachineId> machines) {
-    return send("POST", "/hosts/return", Cbor.bytes(CloudWire.giveBack(machines))).handle((r, failure) -> failure == null && r.ok());
+    return send("POST", "/hosts/return", Cbor.bytes(CloudWire.giveBack(machines)))
+        .handle((r, failure) -> failure == null && r.ok());
   }
 
   /**
-   * One call. What the peers leave unused of the common rate is taken little by little, and given up
-   * at once when the cloud says that it is too much.
+   * One call. What the peers leave unused of the common rate is taken little by little, and given
+   * up at once when the cloud says that it is too much.
    */
   private CompletableFuture<Http.Reply> send(String method, String path, byte[] body) {
     return http.call(settings.cloud(), method, path, body, TIMEOUT_S)
         .whenComplete(
             (r, failure) -> {
               boolean tooMuch = failure == null && r.status() == 429;
-              rate = tooMuch ? Math.max(share / 2, rate / 2) : Math.min(settings.cloudLimits().rps() * 0.8, rate + share / 10);
+              rate =
+                  tooMuch
+                      ? Math.max(share / 2, rate / 2)
+                      : Math.min(settings.cloudLimits().rps() * 0.8, rate + share / 10);
               budget.rate(rate, loop.seconds());
             });
   }
--- a/src/main/java/io/violetrail/config/Settings.java
+++ b/src/main/java/io/violetrail/config/Settings.java
@@ -15,9 +15,20 @@
 
 /** The platform's settings file, checked. Unknown fields are ignored. */
 public record Settings(
-    ControllerId self, String zone, HostPort api, HostPort listen, Map<ControllerId, HostPort> peers, HostPort cloud, HostPort state,
-    double timeBoundS, Map<String, Team> teams, List<Objective> objectives, Workers workers, StateLimits stateLimits,
-    CloudLimits cloudLimits, Limits limits) {
+    ControllerId self,
+    String zone,
+    HostPort api,
+    HostPort listen,
+    Map<ControllerId, HostPort> peers,
+    HostPort cloud,
+    HostPort state,
+    double timeBoundS,
+    Map<String, Team> teams,
+    List<Objective> objectives,
+    Workers workers,
+    StateLimits stateLimits,
+    CloudLimits cloudLimits,
+    Limits limits) {
 
   /** An address by number. */
   public record HostPort(String host, int port) {}
@@ -29,7 +40,8 @@
   public record Objective(String kind, String jobClass, double withinS, double share) {}
 
   /** What the workers go by. */
-  public record Workers(double reportS, double leaseS, double gangWaitS, double gangPeerS, double cancelS) {}
+  public record Workers(
+      double reportS, double leaseS, double gangWaitS, double gangPeerS, double cancelS) {}
 
   /** What the state service allows all controllers together. */
   public record StateLimits(double rps, double writeRps, int valueBytes, int txnOps) {}
@@ -67,7 +79,11 @@
     try {
       return read(new TomlMapper().readTree(Files.readString(file)));
     } catch (IOException e) {
-      throw new Invalid("settings file " + file + " is not TOML: " + e.getMessage().lines().findFirst().orElse(""));
+      throw new Invalid(
+          "settings file "
+              + file
+              + " is not TOML: "
+              + e.getMessage().lines().findFirst().orElse(""));
     }
   }
 
@@ -80,15 +96,30 @@
     JsonNode external = section(m, "external");
     Settings s =
         new Settings(
-            new ControllerId(text(m, "label")), text(m, "zone"), address(m, "api_addr"), address(m, "cluster_listen"), peers,
-            address(external, "cloud"), address(external, "state"), number(c, "time_bound_ms", 0) / 1000, teams(c), objectives(c),
-            workers(section(c, "workers")), stateLimits(section(c, "state")), cloudLimits(section(c, "cloud")),
+            new ControllerId(text(m, "label")),
+            text(m, "zone"),
+            address(m, "api_addr"),
+            address(m, "cluster_listen"),
+            peers,
+            address(external, "cloud"),
+            address(external, "state"),
+            number(c, "time_bound_ms", 0) / 1000,
+            teams(c),
+            objectives(c),
+            workers(section(c, "workers")),
+            stateLimits(section(c, "state")),
+            cloudLimits(section(c, "cloud")),
             limits(section(c, "limits")));
     if (peers.containsKey(s.self)) {
       throw new Invalid("known names this controller itself, " + s.self);
     }
     if (peers.size() >= Version.INCREMENT) {
-      throw new Invalid("known names " + peers.size() + " controllers, and versions have room for " + Version.INCREMENT + " in all");
+      throw new Invalid(
+          "known names "
+              + peers.size()
+              + " controllers, and versions have room for "
+              + Version.INCREMENT
+              + " in all");
     }
     return s;
   }
@@ -98,7 +129,12 @@
     for (JsonNode t : c.path("teams")) {
       teams.put(
           text(t, "name"),
-          new Team(text(t, "name"), number(t, "cpus", 0), number(t, "gpus", 0), limit(t, "cpus_max"), limit(t, "gpus_max")));
+          new Team(
+              text(t, "name"),
+              number(t, "cpus", 0),
+              number(t, "gpus", 0),
+              limit(t, "cpus_max"),
+              limit(t, "gpus_max")));
     }
     return teams;
   }
@@ -106,14 +142,24 @@
   private static List<Objective> objectives(JsonNode c) throws Invalid {
     List<Objective> all = new ArrayList<>();
     for (JsonNode o : c.path("objectives")) {
-      all.add(new Objective(text(o, "kind"), o.hasNonNull("class") ? text(o, "class") : null, number(o, "within_s", 0), number(o, "share", 0)));
+      all.add(
+          new Objective(
+              text(o, "kind"),
+              o.hasNonNull("class") ? text(o, "class") : null,
+              number(o, "within_s", 0),
+              number(o, "share", 0)));
     }
     return List.copyOf(all);
   }
 
   private static Workers workers(JsonNode w) throws Invalid {
     Workers workers =
-        new Workers(positive(w, "report_s"), positive(w, "lease_s"), positive(w, "gang_wait_s"), positive(w, "gang_peer_s"), positive(w, "cancel_s"));
+        new Workers(
+            positive(w, "report_s"),
+            positive(w, "lease_s"),
+            positive(w, "gang_wait_s"),
+            positive(w, "gang_peer_s"),
+            positive(w, "cancel_s"));
     if (workers.cancelS <= workers.leaseS) {
       throw new Invalid("workers.cancel_s must be more than workers.lease_s");
     }
@@ -122,7 +168,10 @@
 
   private static StateLimits stateLimits(JsonNode s) throws Invalid {
     return new StateLimits(
-        positive(s, "rps"), positive(s, "write_rps"), (int) (positive(s, "value_kb") * 1024), (int) Math.max(1, positive(s, "txn_ops")));
+        positive(s, "rps"),
+        positive(s, "write_rps"),
+        (int) (positive(s, "value_kb") * 1024),
+        (int) Math.max(1, positive(s, "txn_ops")));
   }
 
   private static CloudLimits cloudLimits(JsonNode s) throws Invalid {
@@ -130,7 +179,10 @@
   }
 
   private static Limits limits(JsonNode s) throws Invalid {
-    return new Limits(positive(s, "cpu_share"), positive(s, "memory_mb"), (int) Math.max(1, positive(s, "sockets")));
+    return new Limits(
+        positive(s, "cpu_share"),
+        positive(s, "memory_mb"),
+        (int) Math.max(1, positive(s, "sockets")));
   }
 
   private static JsonNode section(JsonNode m, String name) throws Invalid {
--- a/src/main/java/io/violetrail/fleet/Fleet.java
+++ b/src/main/java/io/violetrail/fleet/Fleet.java
@@ -32,8 +32,10 @@
   private static final double TICK_S = 1;
   private static final double TYPES_S = 240;
   private static final double REFUSED_S = 20;
+
   /** Cheap machines come back rarely, and asking uses up calls. */
   private static final double REFUSED_SPOT_S = 75;
+
   private static final int MAX_BOOTING = 20;
 
   /** A worker gives a dead controller up after 4 s and tries the next one a second later. */
@@ -164,7 +166,10 @@
     List<Machine> others = h.machines.values().stream().filter(o -> o != m).toList();
     Prices prices = node.prices();
     return spares.wanted(boot(), now).entrySet().stream()
-        .anyMatch(e -> Spares.room(e.getKey(), List.of(m), prices) > 0 && Spares.room(e.getKey(), others, prices) < e.getValue());
+        .anyMatch(
+            e ->
+                Spares.room(e.getKey(), List.of(m), prices) > 0
+                    && Spares.room(e.getKey(), others, prices) < e.getValue());
   }
 
   private boolean ofNoUse(Machine m, double now) {
@@ -184,7 +189,9 @@
     if (m.draining) {
       return m.empty();
     }
-    return m.heard && m.empty() && now - m.idleSinceS > node.prices().idleS(m.type, m.row.spot(), node.options.idleS());
+    return m.heard
+        && m.empty()
+        && now - m.idleSinceS > node.prices().idleS(m.type, m.row.spot(), node.options.idleS());
   }
 
   private void forget(Holding h, Machine m) {
@@ -192,7 +199,13 @@
       return;
     }
     double age = node.loop.seconds() - m.rentedS;
-    LOG.info("machine {} ({}, spot {}) returned after {} s, used {} s", m.id(), m.row.type(), m.row.spot(), Math.round(age), Math.round(m.usedS));
+    LOG.info(
+        "machine {} ({}, spot {}) returned after {} s, used {} s",
+        m.id(),
+        m.row.type(),
+        m.row.spot(),
+        Math.round(age),
+        Math.round(m.usedS));
     node.removed(h, m);
     node.store
         .settle(h.fenced().when(Rows.machine(m.id()), m.row.stamp()).drop(Rows.machine(m.id())))
@@ -202,7 +215,9 @@
                 node.membership.relistThen(() -> node.gone.remove(m.id()));
               } else {
                 node.gone.remove(m.id());
-                node.directory.apply(new io.violetrail.wire.StateWire.Change(Rows.machine(m.id()), null, outcome.revision()));
+                node.directory.apply(
+                    new io.violetrail.wire.StateWire.Change(
+                        Rows.machine(m.id()), null, outcome.revision()));
               }
             });
   }
@@ -266,7 +281,14 @@
       }
     }
     keepSpares(h, wanted, now);
-    wanted.forEach((offer, count) -> hire(h, offer, Math.min(count, Math.min(CloudWire.MAX_HIRE, node.settings.stateLimits().txnOps() - 1))));
+    wanted.forEach(
+        (offer, count) ->
+            hire(
+                h,
+                offer,
+                Math.min(
+                    count,
+                    Math.min(CloudWire.MAX_HIRE, node.settings.stateLimits().txnOps() - 1))));
   }
 
   private void keepSpares(Holding h, Map<Offer, Integer> wanted, double now) {
@@ -275,7 +297,8 @@
         .forEach(
             (spec, tasks) -> {
               int have = Spares.room(spec, h.machines.values(), node.prices());
-              boolean coming = !wanted.isEmpty() || hires.values().stream().anyMatch(hire -> hire.holding == h);
+              boolean coming =
+                  !wanted.isEmpty() || hires.values().stream().anyMatch(hire -> hire.holding == h);
               if (have < tasks && !coming && h.entity().equals(node.settings.self())) {
                 Offer offer = choose(new Job(spec, 0, now, false), 1, now);
                 if (offer != null) {
@@ -297,7 +320,8 @@
   private Amounts roomSoon(Machine m, double now) {
     Amounts room = m.room();
     for (Placement p : m.tasks.values()) {
-      double began = p.runningS > 0 ? p.runningS : now + p.job.spec.imageGb() / m.type.fetchGbPerS();
+      double began =
+          p.runningS > 0 ? p.runningS : now + p.job.spec.imageGb() / m.type.fetchGbPerS();
       if (began + node.estimates.runS(p.job.spec) < now + m.type.bootS()) {
         room = room.plus(p.job.spec.task());
       }
@@ -318,7 +342,8 @@
 
   private static boolean fill(Job job, List<Bin> bins) {
     for (Bin bin : bins) {
-      if (job.spec.task().fitsIn(bin.room) && job.spec.allows(bin.offer.type(), bin.offer.zone(), bin.offer.spot())) {
+      if (job.spec.task().fitsIn(bin.room)
+          && job.spec.allows(bin.offer.type(), bin.offer.zone(), bin.offer.spot())) {
         bin.room = bin.room.minus(job.spec.task());
         return true;
       }
@@ -341,7 +366,9 @@
       for (String zone : t.zones()) {
         for (boolean spot : new boolean[] {true, false}) {
           Offer offer = new Offer(t.name(), zone, spot);
-          if (!job.spec.allows(t.name(), zone, spot) || refused.containsKey(offer) || !prices.worth(job.spec, t, spot, now - job.arrivedS)) {
+          if (!job.spec.allows(t.name(), zone, spot)
+              || refused.containsKey(offer)
+              || !prices.worth(job.spec, t, spot, now - job.arrivedS)) {
             continue;
           }
           double cost = t.price(spot) * time / Math.min(fit, tasks) * (1 + 0.01 * taste(offer));
@@ -355,7 +382,9 @@
     return best;
   }
 
-  /** Between 0 and 1: an order of equal offers that lasts a while, so that requests for one gather. */
+  /**
+   * Between 0 and 1: an order of equal offers that lasts a while, so that requests for one gather.
+   */
   private double taste(Offer offer) {
     return (Objects.hash(offer, tasteSeed) & 0xffff) / 65536.0;
   }
@@ -367,15 +396,27 @@
     Hire hire = new Hire(h, h.newHire(), offer, count);
     hire.calling = true;
     hires.put(hire.name, hire);
-    var v = Cbor.map().put("type", offer.type()).put("zone", offer.zone()).put("spot", offer.spot()).put("count", count);
-    // The name is stored before the cloud hears it: whoever owns the entity next repeats the request.
+    var v =
+        Cbor.map()
+            .put("type", offer.type())
+            .put("zone", offer.zone())
+            .put("spot", offer.spot())
+            .put("count", count);
+    // The name is stored before the cloud hears it: whoever owns the entity next repeats the
+    // request.
     node.store
-        .settle(h.fenced().when(Rows.hires(h.entity()) + hire.name, 0).set(Rows.hires(h.entity()) + hire.name, v))
+        .settle(
+            h.fenced()
+                .when(Rows.hires(h.entity()) + hire.name, 0)
+                .set(Rows.hires(h.entity()) + hire.name, v))
         .whenComplete(
             (outcome, failure) -> {
               hire.calling = false;
-              // "Exists" can only mean that an earlier try of this write got through: names are unique.
-              boolean stored = failure == null && (outcome.applied() || !outcome.failed().contains(Rows.entity(h.entity())));
+              // "Exists" can only mean that an earlier try of this write got through: names are
+              // unique.
+              boolean stored =
+                  failure == null
+                      && (outcome.applied() || !outcome.failed().contains(Rows.entity(h.entity())));
               if (!stored) {
                 hires.remove(hire.name);
                 node.membership.suspect();
@@ -402,7 +443,13 @@
               if (failure != null || hired.rental() == Rental.UNCERTAIN) {
                 return;
               }
-              LOG.info("entity {}: hire {} of {} {}: {}", hire.holding.entity(), hire.name, hire.count, o, hired.machines());
+              LOG.info(
+                  "entity {}: hire {} of {} {}: {}",
+                  hire.holding.entity(),
+                  hire.name,
+                  hire.count,
+                  o,
+                  hired.machines());
               if (hired.machines().size() < hire.count) {
                 soldOut(o);
                 node.peers.soldOut(o.type(), o.zone(), o.spot());
@@ -427,7 +474,16 @@
         continue;
       }
       MachineRow row =
-          new MachineRow(id, h.entity(), hire.offer.type(), hire.offer.zone(), hire.offer.spot(), false, new Version(0), node.loop.wallMillis(), 0);
+          new MachineRow(
+              id,
+              h.entity(),
+              hire.offer.type(),
+              hire.offer.zone(),
+              hire.offer.spot(),
+              false,
+              new Version(0),
+              node.loop.wallMillis(),
+              0);
       rows.add(row);
       txn.when(Rows.machine(id), 0).set(Rows.machine(id), Rows.value(row));
     }
@@ -441,7 +497,9 @@
                   node.learned(row.stamped(outcome.revision()));
                 }
                 node.changed();
-              } else if (failure == null && !outcome.failed().contains(Rows.entity(h.entity())) && h.active()) {
+              } else if (failure == null
+                  && !outcome.failed().contains(Rows.entity(h.entity()))
+                  && h.active()) {
                 // Some are known by now; look which.
                 node.membership.suspect();
                 node.loop.after(1, () -> record(hire, machines));
@@ -456,7 +514,11 @@
   public void resume(Holding h, List<Entry> entries) {
     for (Entry e : entries) {
       String name = e.key().substring(Rows.hires(h.entity()).length());
-      Offer offer = new Offer(e.value().path("type").asText(), e.value().path("zone").asText(), e.value().path("spot").asBoolean());
+      Offer offer =
+          new Offer(
+              e.value().path("type").asText(),
+              e.value().path("zone").asText(),
+              e.value().path("spot").asBoolean());
       hires.put(name, new Hire(h, name, offer, e.value().path("count").asInt()));
     }
   }
--- a/src/main/java/io/violetrail/fleet/Machine.java
+++ b/src/main/java/io/violetrail/fleet/Machine.java
@@ -19,13 +19,18 @@
   public MachineRow row;
   public final MachineType type;
 
-  /** The version under which this controller's hold on the machine began; older reports prove no absence. */
+  /**
+   * The version under which this controller's hold on the machine began; older reports prove no
+   * absence.
+   */
   public final Version since;
 
   public final Map<TaskId, Placement> tasks = new LinkedHashMap<>();
   public final Set<String> images = new HashSet<>();
 
-  /** Tasks of jobs that are over, or that nobody knows, seen here: they count until they are gone. */
+  /**
+   * Tasks of jobs that are over, or that nobody knows, seen here: they count until they are gone.
+   */
   public final Map<TaskId, Amounts> strays = new HashMap<>();
 
   public long session;
--- a/src/main/java/io/violetrail/fleet/Prices.java
+++ b/src/main/java/io/violetrail/fleet/Prices.java
@@ -27,7 +27,8 @@
   public double ratio(JobSpec job, MachineType type, boolean spot) {
     double cheapest = Double.POSITIVE_INFINITY;
     for (MachineType t : types) {
-      if (t.size().count(job.task()) > 0 && (job.types() == null || job.types().contains(t.name()))) {
+      if (t.size().count(job.task()) > 0
+          && (job.types() == null || job.types().contains(t.name()))) {
         cheapest = Math.min(cheapest, perTask(job, t, false));
       }
     }
--- a/src/main/java/io/violetrail/fleet/Sharing.java
+++ b/src/main/java/io/violetrail/fleet/Sharing.java
@@ -53,7 +53,10 @@
     Entry row = node.directory.slice(team);
     if (row != null && row.value().has(entity.value())) {
       var v = row.value().get(entity.value());
-      return new Amounts(amount(v.path(0).asDouble(), t.cpusMax()), amount(v.path(1).asDouble(), t.gpusMax()), Double.POSITIVE_INFINITY);
+      return new Amounts(
+          amount(v.path(0).asDouble(), t.cpusMax()),
+          amount(v.path(1).asDouble(), t.gpusMax()),
+          Double.POSITIVE_INFINITY);
     }
     int parts = node.settings.peers().size() + 1;
     return new Amounts(t.cpusMax() / parts, t.gpusMax() / parts, Double.POSITIVE_INFINITY);
@@ -120,7 +123,11 @@
         return;
       }
       int fit = m.type.size().count(need.task());
-      if (fit > 0 && m.open() && m.empty() && need.allows(m.row.type(), m.row.zone(), m.row.spot()) && suits(m, need)) {
+      if (fit > 0
+          && m.open()
+          && m.empty()
+          && need.allows(m.row.type(), m.row.zone(), m.row.spot())
+          && suits(m, need)) {
         left -= fit;
         pass(h, m, target);
       }
@@ -132,14 +139,18 @@
     return m.type.size().gpus() == 0 || need.gpus() > 0;
   }
 
-  /** Whether an own job that is more urgent, or has waited longer, waits for the same kind of room. */
+  /**
+   * Whether an own job that is more urgent, or has waited longer, waits for the same kind of room.
+   */
   private boolean wantedHere(Holding h, Need need) {
     for (Job job : h.jobs.values()) {
       if (job.phase != Job.Phase.OPEN || job.unplaced() == 0) {
         continue;
       }
       int priority = job.spec.priority().ordinal();
-      boolean first = priority < need.priority() || priority == need.priority() && job.arrivedMs <= need.arrivedMs();
+      boolean first =
+          priority < need.priority()
+              || priority == need.priority() && job.arrivedMs <= need.arrivedMs();
       if (first && (job.spec.task().gpus() > 0) == (need.gpus() > 0)) {
         return true;
       }
@@ -161,10 +172,17 @@
         .whenComplete(
             (outcome, failure) -> {
               if (failure == null && outcome.applied()) {
-                LOG.info("machine {} passes from entity {} to {} with term {}", m.id(), h.entity(), next.entity(), next.term());
+                LOG.info(
+                    "machine {} passes from entity {} to {} with term {}",
+                    m.id(),
+                    h.entity(),
+                    next.entity(),
+                    next.term());
                 h.machines.remove(m.id(), m);
                 node.learned(next.stamped(outcome.revision()));
-              } else if (failure == null && outcome.failed().size() == 1 && outcome.failed().contains(Rows.entity(target.entity()))) {
+              } else if (failure == null
+                  && outcome.failed().size() == 1
+                  && outcome.failed().contains(Rows.entity(target.entity()))) {
                 m.promised = false;
               } else {
                 node.checkMachine(h, m);
@@ -184,7 +202,11 @@
     if (tasks <= 0) {
       return;
     }
-    Amounts moved = new Amounts(finite(need.cpus() * tasks, team.cpusMax()), finite(need.gpus() * tasks, team.gpusMax()), 0);
+    Amounts moved =
+        new Amounts(
+            finite(need.cpus() * tasks, team.cpusMax()),
+            finite(need.gpus() * tasks, team.gpusMax()),
+            0);
     leaving.put(key, moved);
     String row = Rows.SLICE + need.team();
     Entry before = node.directory.slice(need.team());
@@ -192,7 +214,10 @@
     for (ControllerId e : node.settings.controllers()) {
       Amounts s = stored(e, need.team());
       s = e.equals(h.entity()) ? s.minus(moved) : e.equals(to) ? s.plus(moved) : s;
-      value.putArray(e.value()).add(finite(s.cpus(), team.cpusMax())).add(finite(s.gpus(), team.gpusMax()));
+      value
+          .putArray(e.value())
+          .add(finite(s.cpus(), team.cpusMax()))
+          .add(finite(s.gpus(), team.gpusMax()));
     }
     node.store
         .settle(h.fenced().when(row, before == null ? 0 : before.stamp()).set(row, value))
@@ -201,7 +226,13 @@
               if (failure == null && outcome.applied()) {
                 node.directory.apply(new Change(row, value, outcome.revision()));
                 leaving.remove(key);
-                LOG.info("entity {} gives {} {} cpus and {} gpus of team {}", h.entity(), to, moved.cpus(), moved.gpus(), need.team());
+                LOG.info(
+                    "entity {} gives {} {} cpus and {} gpus of team {}",
+                    h.entity(),
+                    to,
+                    moved.cpus(),
+                    moved.gpus(),
+                    need.team());
               } else {
                 // An earlier try may have applied: the part counts as gone until a fresh reading.
                 node.membership.relistThen(() -> leaving.remove(key));
@@ -217,7 +248,8 @@
   private Amounts waiting(Holding h, Need need) {
     Amounts sum = Amounts.NONE;
     for (Job job : h.jobs.values()) {
-      boolean first = job.spec.priority().ordinal() <= need.priority() && job.arrivedMs <= need.arrivedMs();
+      boolean first =
+          job.spec.priority().ordinal() <= need.priority() && job.arrivedMs <= need.arrivedMs();
       if (job.phase == Job.Phase.OPEN && first && job.spec.team().equals(need.team())) {
         sum = sum.plus(job.spec.task().times(job.unplaced()));
       }
--- a/src/main/java/io/violetrail/fleet/Spares.java
+++ b/src/main/java/io/violetrail/fleet/Spares.java
@@ -73,7 +73,9 @@
   public static int room(JobSpec job, Collection<Machine> machines, Prices prices) {
     int n = 0;
     for (Machine m : machines) {
-      boolean usable = (m.open() || !m.row.up() && !m.returning) && job.allows(m.row.type(), m.row.zone(), m.row.spot());
+      boolean usable =
+          (m.open() || !m.row.up() && !m.returning)
+              && job.allows(m.row.type(), m.row.zone(), m.row.spot());
       if (usable && prices.worth(job, m.type, m.row.spot(), 0)) {
         Amounts room = m.room();
         for (Placement p : m.tasks.values()) {
--- a/src/main/java/io/violetrail/model/MachineType.java
+++ b/src/main/java/io/violetrail/model/MachineType.java
@@ -4,7 +4,14 @@
 
 /** A type that the cloud rents. */
 public record MachineType(
-    String name, Amounts size, double cacheGb, double fetchGbPerS, double price, double spotPrice, double bootS, List<String> zones) {
+    String name,
+    Amounts size,
+    double cacheGb,
+    double fetchGbPerS,
+    double price,
+    double spotPrice,
+    double bootS,
+    List<String> zones) {
   public double price(boolean spot) {
     return spot ? spotPrice : price;
   }
--- a/src/main/java/io/violetrail/net/Http.java
+++ b/src/main/java/io/violetrail/net/Http.java
@@ -9,7 +9,8 @@
    * Sends one request. The future fails if no answer came in time: the request may then have been
    * carried out, or may be later.
    */
-  CompletableFuture<Reply> call(HostPort to, String method, String path, byte[] body, double timeoutS);
+  CompletableFuture<Reply> call(
+      HostPort to, String method, String path, byte[] body, double timeoutS);
 
   /** An answer. */
   record Reply(int status, byte[] body) {
--- a/src/main/java/io/violetrail/net/Loop.java
+++ b/src/main/java/io/violetrail/net/Loop.java
@@ -26,7 +26,9 @@
     return nanos() / 1e9;
   }
 
-  /** Runs the task again and again, {@code seconds} after each run's end; a failure does not end it. */
+  /**
+   * Runs the task again and again, {@code seconds} after each run's end; a failure does not end it.
+   */
   default void every(double seconds, Runnable task) {
     after(
         seconds,
--- a/src/main/java/io/violetrail/net/Service.java
+++ b/src/main/java/io/violetrail/net/Service.java
@@ -31,7 +31,11 @@
     }
 
     public static Answer text(String text) {
-      return new Answer(200, text.getBytes(java.nio.charset.StandardCharsets.UTF_8), 0, "text/plain; charset=utf-8");
+      return new Answer(
+          200,
+          text.getBytes(java.nio.charset.StandardCharsets.UTF_8),
+          0,
+          "text/plain; charset=utf-8");
     }
   }
 }
--- a/src/main/java/io/violetrail/net/UndertowLoop.java
+++ b/src/main/java/io/violetrail/net/UndertowLoop.java
@@ -47,7 +47,10 @@
   @Override
   public Cancellable after(double seconds, Runnable task) {
     XnioExecutor.Key key =
-        thread.executeAfter(() -> locked(task), (long) Math.ceil(Math.max(0, seconds) * 1000), TimeUnit.MILLISECONDS);
+        thread.executeAfter(
+            () -> locked(task),
+            (long) Math.ceil(Math.max(0, seconds) * 1000),
+            TimeUnit.MILLISECONDS);
     return key::remove;
   }
 }
--- a/src/main/java/io/violetrail/net/UndertowServer.java
+++ b/src/main/java/io/violetrail/net/UndertowServer.java
@@ -10,19 +10,24 @@
 import java.nio.ByteBuffer;
 import org.xnio.XnioWorker;
 
-/** Serves a {@link Service} over HTTP. Bodies are bounded and read whole before the service sees them. */
+/**
+ * Serves a {@link Service} over HTTP. Bodies are bounded and read whole before the service sees
+ * them.
+ */
 public final class UndertowServer {
   private static final int MAX_BODY = 64 * 1024;
   private static final int IDLE_MS = 90_000;
 
   private UndertowServer() {}
 
-  public static void start(HostPort at, Service service, UndertowLoop loop, XnioWorker worker, ByteBufferPool buffers) {
+  public static void start(
+      HostPort at, Service service, UndertowLoop loop, XnioWorker worker, ByteBufferPool buffers) {
     Undertow.builder()
         .addHttpListener(at.port(), at.host())
         .setWorker(worker)
         .setByteBufferPool(buffers)
-        // One byte more than the limit is let through, so that the service itself can tell the user.
+        // One byte more than the limit is let through, so that the service itself can tell the
+        // user.
         .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, (long) MAX_BODY + 1)
         .setServerOption(UndertowOptions.MAX_HEADER_SIZE, 8192)
         .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_MS)
@@ -42,7 +47,9 @@
     exchange
         .getRequestReceiver()
         .receiveFullBytes(
-            (ex, body) -> ex.dispatch(SameThreadExecutor.INSTANCE, () -> loop.locked(() -> serve(ex, body, service))),
+            (ex, body) ->
+                ex.dispatch(
+                    SameThreadExecutor.INSTANCE, () -> loop.locked(() -> serve(ex, body, service))),
             (ex, failure) -> {
               ex.setPersistent(false);
               answer(ex, Service.Answer.empty(400));
--- a/src/main/java/io/violetrail/node/Node.java
+++ b/src/main/java/io/violetrail/node/Node.java
@@ -27,8 +27,8 @@
 import io.violetrail.scheduling.Dispatcher;
 import io.violetrail.scheduling.Estimates;
 import io.violetrail.state.StateStore;
-import io.violetrail.wire.CloudWire;
 import io.violetrail.wire.Cbor.Malformed;
+import io.violetrail.wire.CloudWire;
 import io.violetrail.wire.StateWire.Change;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -132,7 +132,8 @@
     if (m != null) {
       return m;
     }
-    // A machine from outside the entity can hide none of its tasks: they start only on recorded machines.
+    // A machine from outside the entity can hide none of its tasks: they start only on recorded
+    // machines.
     return add(h, row, loop.seconds());
   }
 
@@ -167,12 +168,20 @@
     Version term = seen.nextFor(h.row.version().owner());
     LOG.info("machine {} has seen {}: its term becomes {}", m.id(), seen, term);
     MachineRow r = m.row;
-    rewrite(h, m, new MachineRow(r.id(), r.entity(), r.type(), r.zone(), r.spot(), r.up(), term, r.rentedMs(), 0), () -> m.marking = false);
+    rewrite(
+        h,
+        m,
+        new MachineRow(
+            r.id(), r.entity(), r.type(), r.zone(), r.spot(), r.up(), term, r.rentedMs(), 0),
+        () -> m.marking = false);
   }
 
   private void rewrite(Holding h, Machine m, MachineRow next, Runnable after) {
     store
-        .settle(h.fenced().when(Rows.machine(m.id()), m.row.stamp()).set(Rows.machine(m.id()), Rows.value(next)))
+        .settle(
+            h.fenced()
+                .when(Rows.machine(m.id()), m.row.stamp())
+                .set(Rows.machine(m.id()), Rows.value(next)))
         .whenComplete(
             (outcome, failure) -> {
               after.run();
@@ -242,14 +251,22 @@
               }
               jobs.load(h, open.join().entries());
               fleet.resume(h, hires.join().entries());
-              LOG.info("entity {} version {} active: {} jobs, {} machines", h.entity(), h.row.version(), h.jobs.size(), h.machines.size());
+              LOG.info(
+                  "entity {} version {} active: {} jobs, {} machines",
+                  h.entity(),
+                  h.row.version(),
+                  h.jobs.size(),
+                  h.machines.size());
               dispatcher.wake();
             });
   }
 
   private boolean activate(Holding h) {
     double now = loop.seconds();
-    double gone = Math.max(h.gainedS + (h.calm ? timing.goneAfterAnswerS() : timing.goneAfterSeizureS()), now + timing.goneAfterAnswerS());
+    double gone =
+        Math.max(
+            h.gainedS + (h.calm ? timing.goneAfterAnswerS() : timing.goneAfterSeizureS()),
+            now + timing.goneAfterAnswerS());
     for (MachineRow row : directory.machinesOf(h.entity())) {
       if (add(h, row, gone) == null) {
         h.machines.clear();
@@ -292,7 +309,9 @@
     peers.askBack(owner);
   }
 
-  /** Whether requests of users can be taken: the own entity is here, and its lease at most lapsing. */
+  /**
+   * Whether requests of users can be taken: the own entity is here, and its lease at most lapsing.
+   */
   public boolean ready() {
     Holding own = membership.own();
     return own != null && own.active() && membership.mayKeepAlive() && !types().isEmpty();
--- a/src/main/java/io/violetrail/ownership/Directory.java
+++ b/src/main/java/io/violetrail/ownership/Directory.java
@@ -25,6 +25,7 @@
   private final Map<ControllerId, EntityRow> entities = new HashMap<>();
   private final Map<MachineId, MachineRow> machines = new HashMap<>();
   private final Map<String, Entry> slices = new HashMap<>();
+
   /** When each key was last dropped, so that an older change cannot bring it back. */
   private final Map<String, Long> dropped = new HashMap<>();
 
@@ -72,9 +73,15 @@
     if (key.startsWith(Rows.ALIVE)) {
       put(alive, new ControllerId(key.substring(Rows.ALIVE.length())), set ? c.stamp() : null);
     } else if (key.startsWith(Rows.ENTITY)) {
-      put(entities, new ControllerId(key.substring(Rows.ENTITY.length())), set ? Rows.entity(key, c.value(), c.stamp()) : null);
+      put(
+          entities,
+          new ControllerId(key.substring(Rows.ENTITY.length())),
+          set ? Rows.entity(key, c.value(), c.stamp()) : null);
     } else if (key.startsWith(Rows.MACHINE)) {
-      put(machines, new MachineId(key.substring(Rows.MACHINE.length())), set ? Rows.machine(key, c.value(), c.stamp()) : null);
+      put(
+          machines,
+          new MachineId(key.substring(Rows.MACHINE.length())),
+          set ? Rows.machine(key, c.value(), c.stamp()) : null);
     } else if (key.startsWith(Rows.SLICE)) {
       put(slices, key, set ? new Entry(key, c.value(), c.stamp()) : null);
     } else if (key.equals(Rows.TYPES) && set) {
--- a/src/main/java/io/violetrail/ownership/Membership.java
+++ b/src/main/java/io/violetrail/ownership/Membership.java
@@ -23,18 +23,22 @@
 /**
  * This controller's lease, and which entities it owns.
  *
- * <p>A controller is entitled to act for its entities while {@link #valid()}: its lease was renewed,
- * by a request <em>sent</em> less than the lease's time ago. A survivor can take an entity only by a
- * transaction that demands the absence of the owner's alive key, which the state service removes no
- * earlier than that. So at most one controller is valid for an entity at any time.
+ * <p>A controller is entitled to act for its entities while {@link #valid()}: its lease was
+ * renewed, by a request <em>sent</em> less than the lease's time ago. A survivor can take an entity
+ * only by a transaction that demands the absence of the owner's alive key, which the state service
+ * removes no earlier than that. So at most one controller is valid for an entity at any time.
  */
 public final class Membership {
   private static final Logger LOG = LoggerFactory.getLogger(Membership.class);
   private static final double WATCH_S = 20;
   private static final double CHECK_S = 0.25;
+
   /** A later-ranked survivor gives the earlier ones this long to take a lapsed entity. */
   private static final double RANK_DELAY_S = 0.6;
-  /** After its own start a controller lets the others come up too: often all were restarted at once. */
+
+  /**
+   * After its own start a controller lets the others come up too: often all were restarted at once.
+   */
   private static final double START_PATIENCE_S = 2;
 
   /** Told of moves. */
@@ -65,7 +69,13 @@
   private boolean watching;
   private boolean doubted;
 
-  public Membership(Settings settings, Loop loop, StateStore store, Directory directory, Timing timing, Listener listener) {
+  public Membership(
+      Settings settings,
+      Loop loop,
+      StateStore store,
+      Directory directory,
+      Timing timing,
+      Listener listener) {
     this.settings = settings;
     this.loop = loop;
     this.store = store;
@@ -108,15 +118,19 @@
     return settings.indexOf(settings.self());
   }
 
-  /** Gets a lease and says that this controller is alive, retaking its own entity in the same step. */
+  /**
+   * Gets a lease and says that this controller is alive, retaking its own entity in the same step.
+   */
   private void acquire() {
     double sentAt = loop.seconds();
     store
         .lease(timing.ttlS())
-        .thenCombine(store.list(Rows.COMMON), (id, listing) -> {
-          directory.replace(listing.entries(), listing.revision());
-          return id;
-        })
+        .thenCombine(
+            store.list(Rows.COMMON),
+            (id, listing) -> {
+              directory.replace(listing.entries(), listing.revision());
+              return id;
+            })
         .whenComplete(
             (id, failure) -> {
               if (failure != null || id == 0) {
@@ -130,14 +144,20 @@
   private void announce(long id, double sentAt) {
     ControllerId me = settings.self();
     EntityRow mine = directory.entity(me);
-    boolean retake = !holdings.containsKey(me) && (mine == null || me.equals(directory.owner(mine)));
-    Txn txn = new Txn().when(Rows.alive(me), directory.aliveStamp(me)).setHeld(Rows.alive(me), Cbor.map().put("zone", settings.zone()), id);
+    boolean retake =
+        !holdings.containsKey(me) && (mine == null || me.equals(directory.owner(mine)));
+    Txn txn =
+        new Txn()
+            .when(Rows.alive(me), directory.aliveStamp(me))
+            .setHeld(Rows.alive(me), Cbor.map().put("zone", settings.zone()), id);
     EntityRow next = null;
     if (retake) {
-      Version version = mine == null ? new Version(self()) : aboveTerms(me, mine.version()).nextFor(self());
+      Version version =
+          mine == null ? new Version(self()) : aboveTerms(me, mine.version()).nextFor(self());
       // The former process of this controller is gone; whoever was seized from before may not be.
       next = new EntityRow(me, version, mine == null || mine.calm(), 0);
-      txn.when(Rows.entity(me), mine == null ? 0 : mine.stamp()).set(Rows.entity(me), Rows.value(next, me.value()));
+      txn.when(Rows.entity(me), mine == null ? 0 : mine.stamp())
+          .set(Rows.entity(me), Rows.value(next, me.value()));
     }
     for (Holding h : holdings.values()) {
       txn.when(Rows.entity(h.entity()), h.row.stamp());
@@ -159,7 +179,9 @@
               directory.apply(new Change(Rows.alive(me), Cbor.map(), outcome.revision()));
               LOG.info("lease {} begins, revision {}", id, outcome.revision());
               if (retaken != null) {
-                hold(new EntityRow(me, retaken.version(), retaken.calm(), outcome.revision()), retaken.calm());
+                hold(
+                    new EntityRow(me, retaken.version(), retaken.calm(), outcome.revision()),
+                    retaken.calm());
               }
               watch();
             });
@@ -210,7 +232,9 @@
     }
     watching = true;
     store.watch(
-        Rows.COMMON, directory.revision(), WATCH_S,
+        Rows.COMMON,
+        directory.revision(),
+        WATCH_S,
         body -> {
           watching = false;
           take(body);
@@ -306,8 +330,16 @@
   /** Moves an entity here by one conditional transaction. */
   private void move(EntityRow row, ControllerId to, boolean calm, ControllerId lapsed) {
     moving.add(row.entity());
-    EntityRow next = new EntityRow(row.entity(), aboveTerms(row.entity(), row.version()).nextFor(settings.indexOf(to)), calm, 0);
-    Txn txn = new Txn().when(Rows.entity(row.entity()), row.stamp()).set(Rows.entity(row.entity()), Rows.value(next, to.value()));
+    EntityRow next =
+        new EntityRow(
+            row.entity(),
+            aboveTerms(row.entity(), row.version()).nextFor(settings.indexOf(to)),
+            calm,
+            0);
+    Txn txn =
+        new Txn()
+            .when(Rows.entity(row.entity()), row.stamp())
+            .set(Rows.entity(row.entity()), Rows.value(next, to.value()));
     if (!lapsed.equals(to)) {
       txn.when(Rows.alive(lapsed), 0);
     }
@@ -317,7 +349,11 @@
             (outcome, failure) -> {
               moving.remove(row.entity());
               if (failure == null && outcome.applied()) {
-                LOG.info("entity {} taken from {} with version {}", row.entity(), lapsed, next.version());
+                LOG.info(
+                    "entity {} taken from {} with version {}",
+                    row.entity(),
+                    lapsed,
+                    next.version());
                 hold(new EntityRow(row.entity(), next.version(), calm, outcome.revision()), calm);
               } else {
                 relist();
@@ -331,15 +367,25 @@
       return;
     }
     h.phase = Holding.Phase.RELEASING;
-    EntityRow next = new EntityRow(h.entity(), aboveTerms(h.entity(), h.row.version()).nextFor(settings.indexOf(to)), true, 0);
-    Txn txn = h.fenced().when(Rows.alive(to), directory.aliveStamp(to)).set(Rows.entity(h.entity()), Rows.value(next, to.value()));
+    EntityRow next =
+        new EntityRow(
+            h.entity(),
+            aboveTerms(h.entity(), h.row.version()).nextFor(settings.indexOf(to)),
+            true,
+            0);
+    Txn txn =
+        h.fenced()
+            .when(Rows.alive(to), directory.aliveStamp(to))
+            .set(Rows.entity(h.entity()), Rows.value(next, to.value()));
     store
         .settle(txn)
         .whenComplete(
             (outcome, failure) -> {
               if (failure == null && outcome.applied()) {
                 drop(h, "handed back to " + to);
-                directory.apply(new Change(Rows.entity(h.entity()), Rows.value(next, to.value()), outcome.revision()));
+                directory.apply(
+                    new Change(
+                        Rows.entity(h.entity()), Rows.value(next, to.value()), outcome.revision()));
               } else if (failure == null && !outcome.failed().contains(Rows.entity(h.entity()))) {
                 h.phase = Holding.Phase.ACTIVE;
               } else {
@@ -349,7 +395,9 @@
   }
 
   private void hold(EntityRow row, boolean calm) {
-    directory.apply(new Change(Rows.entity(row.entity()), Rows.value(row, settings.self().value()), row.stamp()));
+    directory.apply(
+        new Change(
+            Rows.entity(row.entity()), Rows.value(row, settings.self().value()), row.stamp()));
     Holding h = new Holding(row, calm, loop.seconds());
     holdings.put(row.entity(), h);
     LOG.info("entity {} held with version {}", row.entity(), row.version());
@@ -382,7 +430,8 @@
   /** Versions of all that is held, for peers. */
   public Map<String, Long> versions() {
     Map<String, Long> all = new HashMap<>();
-    new ArrayList<>(holdings.values()).forEach(h -> all.put(h.entity().value(), h.row.version().value()));
+    new ArrayList<>(holdings.values())
+        .forEach(h -> all.put(h.entity().value(), h.row.version().value()));
     return all;
   }
 }
--- a/src/main/java/io/violetrail/ownership/Rows.java
+++ b/src/main/java/io/violetrail/ownership/Rows.java
@@ -19,7 +19,10 @@
 
   private Rows() {}
 
-  /** Owner (by the version's remainder) and version of an entity. {@code calm}: handed over, not seized. */
+  /**
+   * Owner (by the version's remainder) and version of an entity. {@code calm}: handed over, not
+   * seized.
+   */
   public record EntityRow(ControllerId entity, Version version, boolean calm, long stamp) {}
 
   /**
@@ -27,7 +30,15 @@
    * lowest term its worker may be commanded under, raised when it passes from entity to entity.
    */
   public record MachineRow(
-      MachineId id, ControllerId entity, String type, String zone, boolean spot, boolean up, Version term, long rentedMs, long stamp) {
+      MachineId id,
+      ControllerId entity,
+      String type,
+      String zone,
+      boolean spot,
+      boolean up,
+      Version term,
+      long rentedMs,
+      long stamp) {
     public MachineRow nowUp(long newStamp) {
       return new MachineRow(id, entity, type, zone, spot, true, term, rentedMs, newStamp);
     }
@@ -74,12 +85,18 @@
   }
 
   public static ObjectNode value(EntityRow row, String owner) {
-    return Cbor.map().put("owner", owner).put("version", row.version().value()).put("calm", row.calm());
+    return Cbor.map()
+        .put("owner", owner)
+        .put("version", row.version().value())
+        .put("calm", row.calm());
   }
 
   public static EntityRow entity(String key, JsonNode v, long stamp) {
     return new EntityRow(
-        new ControllerId(key.substring(ENTITY.length())), new Version(v.path("version").asLong()), v.path("calm").asBoolean(), stamp);
+        new ControllerId(key.substring(ENTITY.length())),
+        new Version(v.path("version").asLong()),
+        v.path("calm").asBoolean(),
+        stamp);
   }
 
   public static ObjectNode value(MachineRow row) {
@@ -95,8 +112,14 @@
 
   public static MachineRow machine(String key, JsonNode v, long stamp) {
     return new MachineRow(
-        new MachineId(key.substring(MACHINE.length())), new ControllerId(v.path("entity").asText()), v.path("type").asText(),
-        v.path("zone").asText(), v.path("spot").asBoolean(), v.path("up").asBoolean(),
-        new Version(v.path("term").asLong()), v.path("rented").asLong(), stamp);
+        new MachineId(key.substring(MACHINE.length())),
+        new ControllerId(v.path("entity").asText()),
+        v.path("type").asText(),
+        v.path("zone").asText(),
+        v.path("spot").asBoolean(),
+        v.path("up").asBoolean(),
+        new Version(v.path("term").asLong()),
+        v.path("rented").asLong(),
+        stamp);
   }
 }
--- a/src/main/java/io/violetrail/peer/Need.java
+++ b/src/main/java/io/violetrail/peer/Need.java
@@ -5,11 +5,21 @@
 import java.util.List;
 
 /**
- * What an entity lacks for a waiting job: machines for {@code tasks} more tasks, or a larger slice of
- * the team's limit ({@code slice}). Types are joined by commas; empty: any.
+ * What an entity lacks for a waiting job: machines for {@code tasks} more tasks, or a larger slice
+ * of the team's limit ({@code slice}). Types are joined by commas; empty: any.
  */
 public record Need(
-    boolean slice, String team, double cpus, double gpus, double memoryGb, String types, String zone, boolean spot, int tasks, int priority, long arrivedMs) {
+    boolean slice,
+    String team,
+    double cpus,
+    double gpus,
+    double memoryGb,
+    String types,
+    String zone,
+    boolean spot,
+    int tasks,
+    int priority,
+    long arrivedMs) {
   public static Need machines(JobSpec s, int tasks, long arrivedMs) {
     return of(false, s, tasks, arrivedMs);
   }
@@ -21,8 +31,17 @@
   private static Need of(boolean slice, JobSpec s, int tasks, long arrivedMs) {
     String types = s.types() == null ? "" : String.join(",", s.types());
     return new Need(
-        slice, s.team(), s.task().cpus(), s.task().gpus(), s.task().memoryGb(), types, s.zone() == null ? "" : s.zone(), s.spot(), tasks,
-        s.priority().ordinal(), arrivedMs);
+        slice,
+        s.team(),
+        s.task().cpus(),
+        s.task().gpus(),
+        s.task().memoryGb(),
+        types,
+        s.zone() == null ? "" : s.zone(),
+        s.spot(),
+        tasks,
+        s.priority().ordinal(),
+        arrivedMs);
   }
 
   public Amounts task() {
@@ -30,6 +49,8 @@
   }
 
   public boolean allows(String type, String inZone, boolean spotMachine) {
-    return (types.isEmpty() || List.of(types.split(",")).contains(type)) && (zone.isEmpty() || zone.equals(inZone)) && (spot || !spotMachine);
+    return (types.isEmpty() || List.of(types.split(",")).contains(type))
+        && (zone.isEmpty() || zone.equals(inZone))
+        && (spot || !spotMachine);
   }
 }
--- a/src/main/java/io/violetrail/peer/Peers.java
+++ b/src/main/java/io/violetrail/peer/Peers.java
@@ -50,7 +50,8 @@
   }
 
   /** A question about a job or an entity. */
-  public record Question(Kind kind, String from, String subject, long number, ArrayList<Need> needs) {
+  public record Question(
+      Kind kind, String from, String subject, long number, ArrayList<Need> needs) {
     Question(Kind kind, String from, String subject, long number) {
       this(kind, from, subject, number, new ArrayList<>());
     }
@@ -96,18 +97,26 @@
 
   /** Asks the owner of a job for its current state, or to cancel it. */
   public CompletableFuture<JobView> ask(ControllerId owner, JobId id, boolean cancel) {
-    return call(owner, new Question(cancel ? Kind.CANCEL : Kind.VIEW, node.settings.self().value(), id.value(), 0), cancel ? 3 : TIMEOUT_S)
+    return call(
+            owner,
+            new Question(
+                cancel ? Kind.CANCEL : Kind.VIEW, node.settings.self().value(), id.value(), 0),
+            cancel ? 3 : TIMEOUT_S)
         .thenApply(
             r -> {
               if (!r.known()) {
                 throw new Unavailable("the owner does not know", 404);
               }
-              return new JobView(id.value(), JobView.Status.valueOf(r.status()), r.done(), r.running());
+              return new JobView(
+                  id.value(), JobView.Status.valueOf(r.status()), r.done(), r.running());
             });
   }
 
   public void askBack(ControllerId owner) {
-    call(owner, new Question(Kind.HAND_BACK, node.settings.self().value(), node.settings.self().value(), 0), TIMEOUT_S);
+    call(
+        owner,
+        new Question(Kind.HAND_BACK, node.settings.self().value(), node.settings.self().value(), 0),
+        TIMEOUT_S);
   }
 
   /** Tells all peers what this controller holds, so that a former owner in doubt stops at once. */
@@ -116,19 +125,36 @@
         .versions()
         .forEach(
             (entity, version) ->
-                node.settings.peers().keySet().forEach(p -> call(p, new Question(Kind.MOVED, node.settings.self().value(), entity, version), TIMEOUT_S)));
+                node.settings
+                    .peers()
+                    .keySet()
+                    .forEach(
+                        p ->
+                            call(
+                                p,
+                                new Question(
+                                    Kind.MOVED, node.settings.self().value(), entity, version),
+                                TIMEOUT_S)));
   }
 
   /** Asks all peers for machines or slices that an entity held here lacks. */
   public void askFor(ControllerId entity, List<Need> needs) {
-    Question q = new Question(Kind.NEED, node.settings.self().value(), entity.value(), 0, new ArrayList<>(needs));
-    node.settings.peers().keySet().stream().filter(node.directory::isAlive).forEach(p -> call(p, q, TIMEOUT_S));
+    Question q =
+        new Question(
+            Kind.NEED, node.settings.self().value(), entity.value(), 0, new ArrayList<>(needs));
+    node.settings.peers().keySet().stream()
+        .filter(node.directory::isAlive)
+        .forEach(p -> call(p, q, TIMEOUT_S));
   }
 
   /** Saves the peers a call to the cloud. */
   public void soldOut(String type, String zone, boolean spot) {
-    Question q = new Question(Kind.SOLD_OUT, node.settings.self().value(), type + " " + zone + " " + spot, 0);
-    node.settings.peers().keySet().stream().filter(node.directory::isAlive).forEach(p -> call(p, q, TIMEOUT_S));
+    Question q =
+        new Question(
+            Kind.SOLD_OUT, node.settings.self().value(), type + " " + zone + " " + spot, 0);
+    node.settings.peers().keySet().stream()
+        .filter(node.directory::isAlive)
+        .forEach(p -> call(p, q, TIMEOUT_S));
   }
 
   private CompletableFuture<Reply> call(ControllerId to, Question question, double timeoutS) {
@@ -164,7 +190,8 @@
       done.accept(Answer.empty(400));
       return;
     }
-    Consumer<Reply> reply = r -> done.accept(new Answer(200, bytes(r), 0, "application/octet-stream"));
+    Consumer<Reply> reply =
+        r -> done.accept(new Answer(200, bytes(r), 0, "application/octet-stream"));
     switch (q.kind()) {
       case VIEW -> reply.accept(view(new JobId(q.subject())));
       case CANCEL -> cancel(new JobId(q.subject()), reply);
@@ -213,7 +240,9 @@
     } else if (h == null || !node.membership.valid()) {
       reply.accept(Reply.UNKNOWN);
     } else {
-      node.jobs.cancel(h, h.jobs.get(id)).whenComplete((v, failure) -> reply.accept(failure == null ? reply(v) : Reply.UNKNOWN));
+      node.jobs
+          .cancel(h, h.jobs.get(id))
+          .whenComplete((v, failure) -> reply.accept(failure == null ? reply(v) : Reply.UNKNOWN));
     }
   }
 }
--- a/src/main/java/io/violetrail/scheduling/Dispatcher.java
+++ b/src/main/java/io/violetrail/scheduling/Dispatcher.java
@@ -81,7 +81,9 @@
     wake();
   }
 
-  /** Notices silence: first nothing more is placed, and after the worker's lease its tasks are gone. */
+  /**
+   * Notices silence: first nothing more is placed, and after the worker's lease its tasks are gone.
+   */
   private void watch(Holding h, Machine m, double now) {
     if (!m.row.up()) {
       return;
@@ -97,9 +99,11 @@
         }
       }
     }
-    boolean gone = m.heard ? now - m.answeredS > node.timing.goneAfterAnswerS() : now > m.unheardGoneS;
+    boolean gone =
+        m.heard ? now - m.answeredS > node.timing.goneAfterAnswerS() : now > m.unheardGoneS;
     if (m.silent && gone && m.firstSession <= m.session) {
-      LOG.info("machine {}: its worker's lease is over, and so are {} tasks", m.id(), m.tasks.size());
+      LOG.info(
+          "machine {}: its worker's lease is over, and so are {} tasks", m.id(), m.tasks.size());
       m.firstSession = m.session + 1;
       m.strays.clear();
       for (Placement p : List.copyOf(m.tasks.values())) {
@@ -149,7 +153,10 @@
         job.failedOn.add(m.id());
         m.failures++;
         m.failedJobs.add(job.spec.id());
-        job.notBefore.put(index, (Double) (now + Math.min(MAX_BACKOFF_S, Math.pow(2, Math.min(10, job.failures / 2.0)))));
+        job.notBefore.put(
+            index,
+            (Double)
+                (now + Math.min(MAX_BACKOFF_S, Math.pow(2, Math.min(10, job.failures / 2.0)))));
         LOG.info("task {}/{} failed on {}", job.spec.id(), index, m.id());
         // A job that fails wherever it goes says nothing about a machine.
         boolean machine = m.failedJobs.size() >= 2 || m.failures >= 3 && job.failedOn.size() <= 2;
@@ -182,7 +189,10 @@
         continue;
       }
       Amounts quota = left.computeIfAbsent(job.spec.team(), t -> quota(h, t, now));
-      Amounts used = job.spec.shape() == Shape.GANG ? placeGang(h, job, rooms, quota, now) : placeTasks(h, job, rooms, quota, now);
+      Amounts used =
+          job.spec.shape() == Shape.GANG
+              ? placeGang(h, job, rooms, quota, now)
+              : placeTasks(h, job, rooms, quota, now);
       left.put(job.spec.team(), quota.minus(used));
     }
     node.sharing.ask(h);
@@ -205,7 +215,8 @@
     return node.sharing.slice(h.entity(), team).minus(h.used(team, now));
   }
 
-  private Amounts placeTasks(Holding h, Job job, Map<Machine, Amounts> rooms, Amounts quota, double now) {
+  private Amounts placeTasks(
+      Holding h, Job job, Map<Machine, Amounts> rooms, Amounts quota, double now) {
     Amounts used = Amounts.NONE;
     Amounts task = job.spec.task();
     for (int i = job.nextFree(0); i >= 0; i = job.nextFree(i + 1)) {
@@ -229,7 +240,8 @@
   }
 
   /** All of a gang's tasks get their places at once, or none does. */
-  private Amounts placeGang(Holding h, Job job, Map<Machine, Amounts> rooms, Amounts quota, double now) {
+  private Amounts placeGang(
+      Holding h, Job job, Map<Machine, Amounts> rooms, Amounts quota, double now) {
     Amounts all = job.spec.task().times(job.spec.tasks());
     if (!job.placed.isEmpty() || !all.fitsIn(quota)) {
       return Amounts.NONE;
@@ -270,8 +282,12 @@
     return Amounts.NONE;
   }
 
-  /** Best fit among a few sampled machines that have room and are allowed, given the job's other tasks. */
-  private Machine choose(Job job, Map<Machine, Amounts> rooms, Iterable<Placement> others, double now) {
+  /**
+   * Best fit among a few sampled machines that have room and are allowed, given the job's other
+   * tasks.
+   */
+  private Machine choose(
+      Job job, Map<Machine, Amounts> rooms, Iterable<Placement> others, double now) {
     Map<String, Integer> perZone = new HashMap<>();
     if (job.spec.oneZone() || job.spec.spread()) {
       others.forEach(p -> perZone.merge(p.machine.row.zone(), 1, Integer::sum));
@@ -280,7 +296,11 @@
     for (var e : rooms.entrySet()) {
       Machine m = e.getKey();
       boolean free = m.reservedFor == null || m.reservedFor == job || now > m.reservedUntilS;
-      if (free && job.spec.task().fitsIn(e.getValue()) && allowed(job, m, perZone) && leavesAccelerators(job, m, e.getValue(), now) && affordable(job, m, now)) {
+      if (free
+          && job.spec.task().fitsIn(e.getValue())
+          && allowed(job, m, perZone)
+          && leavesAccelerators(job, m, e.getValue(), now)
+          && affordable(job, m, now)) {
         fitting.add(e.getKey());
       }
     }
@@ -306,7 +326,9 @@
       return true;
     }
     Amounts rest = room.minus(job.spec.task());
-    return accelerated.values().stream().filter(a -> now - a.seenS() < RECENT_S).allMatch(a -> rest.count(a.task()) >= room.count(a.task()));
+    return accelerated.values().stream()
+        .filter(a -> now - a.seenS() < RECENT_S)
+        .allMatch(a -> rest.count(a.task()) >= room.count(a.task()));
   }
 
   /** A dear machine is not kept from being returned by work that could run on a cheap one. */
@@ -315,7 +337,8 @@
       return true;
     }
     // It is kept by other work anyway.
-    return m.tasks.values().stream().anyMatch(p -> p.job.spec.task().gpus() > job.spec.task().gpus());
+    return m.tasks.values().stream()
+        .anyMatch(p -> p.job.spec.task().gpus() > job.spec.task().gpus());
   }
 
   static boolean allowed(Job job, Machine m, Map<String, Integer> perZone) {
@@ -327,7 +350,9 @@
     if (job.failedOn.contains(m.id()) && job.failedOn.size() < 3) {
       return false;
     }
-    if (s.oneZone() && !perZone.isEmpty() && !(perZone.size() == 1 && perZone.containsKey(m.row.zone()))) {
+    if (s.oneZone()
+        && !perZone.isEmpty()
+        && !(perZone.size() == 1 && perZone.containsKey(m.row.zone()))) {
       return false;
     }
     return !s.spread() || perZone.getOrDefault(m.row.zone(), 0) < s.perZone();
@@ -337,7 +362,8 @@
   private double score(Job job, Machine m, Amounts room) {
     Amounts size = m.type.size();
     Amounts rest = room.minus(job.spec.task());
-    double score = rest.cpus() / size.cpus() + 0.6 * node.prices().ratio(job.spec, m.type, m.row.spot());
+    double score =
+        rest.cpus() / size.cpus() + 0.6 * node.prices().ratio(job.spec, m.type, m.row.spot());
     if (size.gpus() > 0) {
       score += job.spec.task().gpus() > 0 ? rest.gpus() / size.gpus() : 1;
     }
--- a/src/main/java/io/violetrail/scheduling/Estimates.java
+++ b/src/main/java/io/violetrail/scheduling/Estimates.java
@@ -4,7 +4,10 @@
 import java.util.HashMap;
 import java.util.Map;
 
-/** How long tasks really run, as a multiple of their owners' estimates, learnt for each class of jobs. */
+/**
+ * How long tasks really run, as a multiple of their owners' estimates, learnt for each class of
+ * jobs.
+ */
 public final class Estimates {
   /** Weight of the newest task: some ten tasks outweigh what was believed before. */
   private static final double NEWEST = 0.1;
--- a/src/main/java/io/violetrail/scheduling/Job.java
+++ b/src/main/java/io/violetrail/scheduling/Job.java
@@ -23,7 +23,10 @@
 
   public final JobSpec spec;
   public final long arrivedMs;
-  /** When it arrived on this controller's steady clock; before this process started for older jobs. */
+
+  /**
+   * When it arrived on this controller's steady clock; before this process started for older jobs.
+   */
   public final double arrivedS;
 
   /** Loaded from the state service: tasks of it may be on machines that have not reported yet. */
@@ -40,7 +43,10 @@
   public int failures;
   public Phase phase = Phase.OPEN;
   public Status end;
-  /** The first task that may be neither done nor placed; a hint that keeps scans of wide jobs short. */
+
+  /**
+   * The first task that may be neither done nor placed; a hint that keeps scans of wide jobs short.
+   */
   public int cursor;
 
   public double flushedS;
@@ -63,9 +69,13 @@
     return spec.tasks() - done.cardinality() - placed.size();
   }
 
-  /** The next task at or after {@code from} that is neither done nor placed; -1 if there is none. */
+  /**
+   * The next task at or after {@code from} that is neither done nor placed; -1 if there is none.
+   */
   public int nextFree(int from) {
-    for (int i = done.nextClearBit(Math.max(from, cursor)); i < spec.tasks(); i = done.nextClearBit(i + 1)) {
+    for (int i = done.nextClearBit(Math.max(from, cursor));
+        i < spec.tasks();
+        i = done.nextClearBit(i + 1)) {
       if (!placed.containsKey(i)) {
         return i;
       }
--- a/src/main/java/io/violetrail/scheduling/Preemption.java
+++ b/src/main/java/io/violetrail/scheduling/Preemption.java
@@ -14,7 +14,9 @@
 final class Preemption {
   private static final Logger LOG = LoggerFactory.getLogger(Preemption.class);
 
-  /** Room that is being made is kept this long beyond the time to save, in which two reports pass. */
+  /**
+   * Room that is being made is kept this long beyond the time to save, in which two reports pass.
+   */
   private static final double RESERVED_S = 6;
 
   /** Makes room for one task of a job that waits. It is placed once the stopped tasks are gone. */
@@ -29,11 +31,17 @@
     double bestLoss = Double.POSITIVE_INFINITY;
     for (Machine m : h.machines.values()) {
       boolean taken = m.reservedFor != null && now <= m.reservedUntilS;
-      if (!m.open() || taken || !job.spec.task().fitsIn(m.type.size()) || !Dispatcher.allowed(job, m, Map.of())) {
+      if (!m.open()
+          || taken
+          || !job.spec.task().fitsIn(m.type.size())
+          || !Dispatcher.allowed(job, m, Map.of())) {
         continue;
       }
       List<Placement> victims = victims(job, m, now);
-      double loss = victims == null ? Double.POSITIVE_INFINITY : loss(victims, now) + (wastes(job, m) ? 1e6 : 0);
+      double loss =
+          victims == null
+              ? Double.POSITIVE_INFINITY
+              : loss(victims, now) + (wastes(job, m) ? 1e6 : 0);
       if (loss < bestLoss) {
         best = m;
         bestVictims = victims;
@@ -51,7 +59,8 @@
     }
     best.reservedFor = job;
     best.reservedUntilS = now + grace + RESERVED_S;
-    LOG.info("job {}: {} less urgent tasks stop on {}", job.spec.id(), bestVictims.size(), best.id());
+    LOG.info(
+        "job {}: {} less urgent tasks stop on {}", job.spec.id(), bestVictims.size(), best.id());
   }
 
   private static void stop(Holding h, Placement p, double save, double now) {
--- a/src/main/java/io/violetrail/state/StateStore.java
+++ b/src/main/java/io/violetrail/state/StateStore.java
@@ -41,8 +41,16 @@
     int nodes = settings.peers().size() + 1;
     // A fifth is left unused, since a takeover and late requests of a dead controller come on top.
     double share = 0.8 / nodes;
-    this.requests = new Budget(settings.stateLimits().rps() * share, settings.stateLimits().rps() * share, loop.seconds());
-    this.writes = new Budget(settings.stateLimits().writeRps() * share, settings.stateLimits().writeRps() * share, loop.seconds());
+    this.requests =
+        new Budget(
+            settings.stateLimits().rps() * share,
+            settings.stateLimits().rps() * share,
+            loop.seconds());
+    this.writes =
+        new Budget(
+            settings.stateLimits().writeRps() * share,
+            settings.stateLimits().writeRps() * share,
+            loop.seconds());
   }
 
   /** The service said no, or said nothing. */
@@ -57,7 +65,10 @@
 
     /** The cause of a failed future, whatever it is wrapped in. */
     public static Unavailable of(Throwable failure) {
-      Throwable t = failure instanceof java.util.concurrent.CompletionException ? failure.getCause() : failure;
+      Throwable t =
+          failure instanceof java.util.concurrent.CompletionException
+              ? failure.getCause()
+              : failure;
       return t instanceof Unavailable u ? u : new Unavailable(String.valueOf(t), 0);
     }
 
@@ -96,12 +107,14 @@
 
   private void page(String prefix, String after, List<Entry> all, CompletableFuture<Listing> done) {
     requests.force(1, loop.seconds());
-    String path = "/keys?under=" + prefix + "&most=" + PAGE + (after.isEmpty() ? "" : "&after=" + after);
+    String path =
+        "/keys?under=" + prefix + "&most=" + PAGE + (after.isEmpty() ? "" : "&after=" + after);
     call("GET", path, null, TIMEOUT_S * 2)
         .whenComplete(
             (r, failure) -> {
               if (failure != null || !r.ok()) {
-                done.completeExceptionally(failure != null ? failure : new Unavailable("list", r.status()));
+                done.completeExceptionally(
+                    failure != null ? failure : new Unavailable("list", r.status()));
                 return;
               }
               ObjectNode m = body(r);
@@ -173,19 +186,36 @@
 
   public CompletableFuture<Long> lease(double ttlS) {
     requests.force(1, loop.seconds());
-    return call("POST", "/leases", Cbor.bytes(StateWire.lease(Math.round(ttlS * 1000))), TIMEOUT_S).thenApply(r -> StateWire.leaseId(body(r)));
+    return call("POST", "/leases", Cbor.bytes(StateWire.lease(Math.round(ttlS * 1000))), TIMEOUT_S)
+        .thenApply(r -> StateWire.leaseId(body(r)));
   }
 
   /** True if renewed, false if the lease has ended. */
   public CompletableFuture<Boolean> renew(long lease) {
     requests.force(1, loop.seconds());
-    return call("POST", "/leases/" + lease + "/renew", Cbor.bytes(Cbor.map()), TIMEOUT_S).thenApply(r -> r.ok());
+    return call("POST", "/leases/" + lease + "/renew", Cbor.bytes(Cbor.map()), TIMEOUT_S)
+        .thenApply(r -> r.ok());
   }
 
   /** Watches a prefix: the answer's body, or null if the revision is too old. */
-  public void watch(String prefix, long after, double waitS, Consumer<ObjectNode> changed, Consumer<Boolean> failed) {
+  public void watch(
+      String prefix,
+      long after,
+      double waitS,
+      Consumer<ObjectNode> changed,
+      Consumer<Boolean> failed) {
     requests.force(1, loop.seconds());
-    http.call(settings.state(), "GET", "/changes?under=" + prefix + "&after=" + after + "&block_ms=" + Math.round(waitS * 1000), null, waitS + 3)
+    http.call(
+            settings.state(),
+            "GET",
+            "/changes?under="
+                + prefix
+                + "&after="
+                + after
+                + "&block_ms="
+                + Math.round(waitS * 1000),
+            null,
+            waitS + 3)
         .whenComplete(
             (r, failure) -> {
               if (failure == null && r.ok()) {
@@ -200,17 +230,20 @@
             });
   }
 
-  private CompletableFuture<Http.Reply> call(String method, String path, byte[] body, double timeoutS) {
+  private CompletableFuture<Http.Reply> call(
+      String method, String path, byte[] body, double timeoutS) {
     CompletableFuture<Http.Reply> done = new CompletableFuture<>();
     http.call(settings.state(), method, path, body, timeoutS)
         .whenComplete(
             (r, failure) -> {
               if (failure != null) {
-                done.completeExceptionally(new Unavailable("state service: " + failure.getMessage(), 0));
+                done.completeExceptionally(
+                    new Unavailable("state service: " + failure.getMessage(), 0));
               } else if (r.status() == 200 || r.status() == 404 || r.status() == 409) {
                 done.complete(r);
               } else {
-                done.completeExceptionally(new Unavailable("state service answered " + r.status(), r.status()));
+                done.completeExceptionally(
+                    new Unavailable("state service answered " + r.status(), r.status()));
               }
             });
     return done;
--- a/src/main/java/io/violetrail/wire/BeatWire.java
+++ b/src/main/java/io/violetrail/wire/BeatWire.java
@@ -16,8 +16,16 @@
 
   /** A worker's report. {@code noticeS} is null without a spot notice. */
   public record Beat(
-      MachineId machine, String endpoint, String type, String zone, boolean spot, long session, long seq, Version token,
-      Double noticeS, List<Piece> pieces) {
+      MachineId machine,
+      String endpoint,
+      String type,
+      String zone,
+      boolean spot,
+      long session,
+      long seq,
+      Version token,
+      Double noticeS,
+      List<Piece> pieces) {
     public boolean newerThan(long otherSession, long otherSeq) {
       return session > otherSession || session == otherSession && seq > otherSeq;
     }
@@ -58,11 +66,35 @@
   }
 
   private static final Map<String, State> STATES =
-      Map.of("fetching", State.FETCHING, "gathering", State.WAITING, "running", State.RUNNING, "flushing", State.SAVING, "ended", State.EXITED);
+      Map.of(
+          "fetching",
+          State.FETCHING,
+          "gathering",
+          State.WAITING,
+          "running",
+          State.RUNNING,
+          "flushing",
+          State.SAVING,
+          "ended",
+          State.EXITED);
   private static final Map<String, Why> WHYS =
       Map.of(
-          "done", Why.DONE, "halted", Why.STOPPED, "mates_gone", Why.PEERS_GONE, "incomplete", Why.INCOMPLETE, "error", Why.ERROR,
-          "no_room", Why.NO_ROOM, "in_use", Why.BUSY, "unknown", Why.UNKNOWN);
+          "done",
+          Why.DONE,
+          "halted",
+          Why.STOPPED,
+          "mates_gone",
+          Why.PEERS_GONE,
+          "incomplete",
+          Why.INCOMPLETE,
+          "error",
+          Why.ERROR,
+          "no_room",
+          Why.NO_ROOM,
+          "in_use",
+          Why.BUSY,
+          "unknown",
+          Why.UNKNOWN);
 
   public static Beat beat(JsonNode m) throws Malformed {
     List<Piece> pieces = new ArrayList<>();
@@ -72,11 +104,19 @@
         pieces.add(piece(p));
       }
     }
-    Double notice = Cbor.present(m, "warning_s") == null ? null : (Double) m.get("warning_s").asDouble();
+    Double notice =
+        Cbor.present(m, "warning_s") == null ? null : (Double) m.get("warning_s").asDouble();
     return new Beat(
-        new MachineId(Cbor.text(m, "host")), Cbor.textOr(m, "endpoint", ""), Cbor.text(m, "hosttype"), Cbor.text(m, "yard"),
-        Cbor.flag(m, "loaners"), Cbor.count(m, "tenure"), Cbor.count(m, "tick"),
-        new Version(Cbor.present(m, "baton") == null ? 0 : Cbor.count(m, "baton")), notice, pieces);
+        new MachineId(Cbor.text(m, "host")),
+        Cbor.textOr(m, "endpoint", ""),
+        Cbor.text(m, "hosttype"),
+        Cbor.text(m, "yard"),
+        Cbor.flag(m, "loaners"),
+        Cbor.count(m, "tenure"),
+        Cbor.count(m, "tick"),
+        new Version(Cbor.present(m, "baton") == null ? 0 : Cbor.count(m, "baton")),
+        notice,
+        pieces);
   }
 
   private static Piece piece(JsonNode p) throws Malformed {
@@ -85,7 +125,10 @@
     if (task == null || state == null) {
       throw new Malformed("a task of the report is unclear");
     }
-    Why why = state == State.EXITED ? WHYS.getOrDefault(Cbor.textOr(p, "cause", "error"), Why.ERROR) : null;
+    Why why =
+        state == State.EXITED
+            ? WHYS.getOrDefault(Cbor.textOr(p, "cause", "error"), Why.ERROR)
+            : null;
     JsonNode kept = Cbor.present(p, "kept");
     return new Piece(task, Cbor.count(p, "try"), state, why, kept != null && kept.asBoolean());
   }
@@ -95,11 +138,13 @@
     var list = m.putArray("orders");
     for (Order o : orders) {
       var node = list.addObject();
-      node.put("verb", switch (o.verb()) {
-        case LAUNCH -> "launch";
-        case HALT -> "halt";
-        case FORGET -> "forget";
-      });
+      node.put(
+          "verb",
+          switch (o.verb()) {
+            case LAUNCH -> "launch";
+            case HALT -> "halt";
+            case FORGET -> "forget";
+          });
       node.put("piece", o.task().toString()).put("try", o.attempt());
       if (o.verb() == Order.Verb.HALT) {
         node.put("wind_down_s", o.graceS());
--- a/src/main/java/io/violetrail/wire/Cbor.java
+++ b/src/main/java/io/violetrail/wire/Cbor.java
@@ -13,7 +13,10 @@
 /** CBOR bodies as Jackson trees, with the checks that every message needs. */
 public final class Cbor {
   private static final ObjectMapper MAPPER =
-      new ObjectMapper(CBORFactory.builder().streamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(32).build()).build());
+      new ObjectMapper(
+          CBORFactory.builder()
+              .streamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(32).build())
+              .build());
 
   private Cbor() {}
 
--- a/src/main/java/io/violetrail/wire/CloudWire.java
+++ b/src/main/java/io/violetrail/wire/CloudWire.java
@@ -19,7 +19,8 @@
   private CloudWire() {}
 
   /** A machine in the cloud's list, which lags. */
-  public record Listed(MachineId id, String type, String zone, boolean spot, String status, double ageS) {}
+  public record Listed(
+      MachineId id, String type, String zone, boolean spot, String status, double ageS) {}
 
   public static List<MachineType> types(JsonNode m) throws Malformed {
     List<MachineType> all = new ArrayList<>();
@@ -30,9 +31,15 @@
     for (JsonNode t : list) {
       all.add(
           new MachineType(
-              Cbor.text(t, "sku"), new Amounts(Cbor.amount(t, "cores"), Cbor.amount(t, "gpus"), Cbor.amount(t, "mem_gb")),
-              Cbor.amount(t, "cache_gb"), Cbor.amount(t, "pull_gb_per_s"), Cbor.amount(t, "rate"), Cbor.amount(t, "spot_price"),
-              Cbor.amount(t, "ready_s"), Cbor.texts(t, "yards")));
+              Cbor.text(t, "sku"),
+              new Amounts(
+                  Cbor.amount(t, "cores"), Cbor.amount(t, "gpus"), Cbor.amount(t, "mem_gb")),
+              Cbor.amount(t, "cache_gb"),
+              Cbor.amount(t, "pull_gb_per_s"),
+              Cbor.amount(t, "rate"),
+              Cbor.amount(t, "spot_price"),
+              Cbor.amount(t, "ready_s"),
+              Cbor.texts(t, "yards")));
     }
     return all;
   }
@@ -41,8 +48,14 @@
     ObjectNode m = Cbor.map();
     var list = m.putArray("hosttypes");
     for (MachineType t : types) {
-      var n = list.addObject().put("sku", t.name()).put("cores", t.size().cpus()).put("gpus", t.size().gpus());
-      n.put("mem_gb", t.size().memoryGb()).put("cache_gb", t.cacheGb()).put("pull_gb_per_s", t.fetchGbPerS());
+      var n =
+          list.addObject()
+              .put("sku", t.name())
+              .put("cores", t.size().cpus())
+              .put("gpus", t.size().gpus());
+      n.put("mem_gb", t.size().memoryGb())
+          .put("cache_gb", t.cacheGb())
+          .put("pull_gb_per_s", t.fetchGbPerS());
       n.put("rate", t.price()).put("spot_price", t.spotPrice()).put("ready_s", t.bootS());
       t.zones().forEach(n.putArray("yards")::add);
     }
@@ -50,7 +63,12 @@
   }
 
   public static ObjectNode hire(String name, String type, String zone, boolean spot, int count) {
-    return Cbor.map().put("hire", name).put("hosttype", type).put("yard", zone).put("loaners", spot).put("count", count);
+    return Cbor.map()
+        .put("hire", name)
+        .put("hosttype", type)
+        .put("yard", zone)
+        .put("loaners", spot)
+        .put("count", count);
   }
 
   public static ObjectNode giveBack(Collection<MachineId> machines) {
@@ -75,8 +93,12 @@
       for (JsonNode h : list) {
         all.add(
             new Listed(
-                new MachineId(Cbor.text(h, "name_id")), Cbor.text(h, "hosttype"), Cbor.text(h, "yard"), Cbor.flag(h, "loaners"),
-                Cbor.text(h, "status"), Cbor.amount(h, "age_s")));
+                new MachineId(Cbor.text(h, "name_id")),
+                Cbor.text(h, "hosttype"),
+                Cbor.text(h, "yard"),
+                Cbor.flag(h, "loaners"),
+                Cbor.text(h, "status"),
+                Cbor.amount(h, "age_s")));
       }
     }
     return all;
--- a/src/main/java/io/violetrail/wire/JobWire.java
+++ b/src/main/java/io/violetrail/wire/JobWire.java
@@ -15,9 +15,18 @@
 /** The users' messages. */
 public final class JobWire {
   public static final int MAX_TASKS = 100_000;
-  private static final Map<String, Shape> SHAPES = Map.of("batch", Shape.ARRAY, "ensemble", Shape.GANG, "daemon", Shape.SERVICE);
+  private static final Map<String, Shape> SHAPES =
+      Map.of("batch", Shape.ARRAY, "ensemble", Shape.GANG, "daemon", Shape.SERVICE);
   private static final Map<String, Priority> PRIORITIES =
-      Map.of("prod", Priority.PRODUCTION, "high", Priority.HIGH, "normal", Priority.NORMAL, "low", Priority.LOW);
+      Map.of(
+          "prod",
+          Priority.PRODUCTION,
+          "high",
+          Priority.HIGH,
+          "normal",
+          Priority.NORMAL,
+          "low",
+          Priority.LOW);
 
   private JobWire() {}
 
@@ -32,17 +41,32 @@
     }
     Double deadline = Cbor.present(m, "due_s") == null ? null : (Double) Cbor.amount(m, "due_s");
     return new JobSpec(
-        new JobId(id), Cbor.text(m, "jobclass"), Cbor.text(m, "crew"), oneOf(SHAPES, m, "shape"), oneOf(PRIORITIES, m, "urgency"),
-        (int) tasks, new Amounts(Cbor.amount(m, "cores"), Cbor.amount(m, "gpus"), Cbor.amount(m, "mem_gb")),
-        Cbor.textOr(m, "bundle", ""), Cbor.amount(m, "pull_gb"), Cbor.texts(m, "hosttypes"), Cbor.textOr(m, "yard", null),
-        Cbor.flag(m, "one_zone"), Cbor.flag(m, "apart"), Cbor.flag(m, "loaners"), Cbor.amount(m, "guess_s"),
-        Cbor.amount(m, "snapshot_s"), Cbor.amount(m, "flush_s"), deadline);
+        new JobId(id),
+        Cbor.text(m, "jobclass"),
+        Cbor.text(m, "crew"),
+        oneOf(SHAPES, m, "shape"),
+        oneOf(PRIORITIES, m, "urgency"),
+        (int) tasks,
+        new Amounts(Cbor.amount(m, "cores"), Cbor.amount(m, "gpus"), Cbor.amount(m, "mem_gb")),
+        Cbor.textOr(m, "bundle", ""),
+        Cbor.amount(m, "pull_gb"),
+        Cbor.texts(m, "hosttypes"),
+        Cbor.textOr(m, "yard", null),
+        Cbor.flag(m, "one_zone"),
+        Cbor.flag(m, "apart"),
+        Cbor.flag(m, "loaners"),
+        Cbor.amount(m, "guess_s"),
+        Cbor.amount(m, "snapshot_s"),
+        Cbor.amount(m, "flush_s"),
+        deadline);
   }
 
   public static ObjectNode spec(JobSpec s) {
     ObjectNode m = Cbor.map();
     m.put("name_id", s.id().value()).put("jobclass", s.jobClass()).put("crew", s.team());
-    m.put("shape", nameOf(SHAPES, s.shape())).put("urgency", nameOf(PRIORITIES, s.priority())).put("pieces", s.tasks());
+    m.put("shape", nameOf(SHAPES, s.shape()))
+        .put("urgency", nameOf(PRIORITIES, s.priority()))
+        .put("pieces", s.tasks());
     m.put("cores", s.task().cpus()).put("gpus", s.task().gpus()).put("mem_gb", s.task().memoryGb());
     if (!s.image().isEmpty()) {
       m.put("bundle", s.image());
@@ -52,13 +76,20 @@
       var list = m.putArray("hosttypes");
       s.types().forEach(list::add);
     }
-    m.put("yard", s.zone()).put("one_zone", s.oneZone()).put("apart", s.spread()).put("loaners", s.spot());
-    m.put("guess_s", s.estimateS()).put("snapshot_s", s.checkpointS()).put("flush_s", s.saveS()).put("due_s", s.deadlineS());
+    m.put("yard", s.zone())
+        .put("one_zone", s.oneZone())
+        .put("apart", s.spread())
+        .put("loaners", s.spot());
+    m.put("guess_s", s.estimateS())
+        .put("snapshot_s", s.checkpointS())
+        .put("flush_s", s.saveS())
+        .put("due_s", s.deadlineS());
     return m;
   }
 
   public static ObjectNode view(JobView v) {
-    ObjectNode m = Cbor.map().put("name_id", v.id()).put("status", v.status().name().toLowerCase(Locale.ROOT));
+    ObjectNode m =
+        Cbor.map().put("name_id", v.id()).put("status", v.status().name().toLowerCase(Locale.ROOT));
     return m.put("done", v.done()).put("running", v.running());
   }
 
@@ -71,6 +102,10 @@
   }
 
   private static <T> String nameOf(Map<String, T> known, T value) {
-    return known.entrySet().stream().filter(e -> e.getValue() == value).findFirst().orElseThrow().getKey();
+    return known.entrySet().stream()
+        .filter(e -> e.getValue() == value)
+        .findFirst()
+        .orElseThrow()
+        .getKey();
   }
 }
--- a/src/main/java/io/violetrail/wire/StateWire.java
+++ b/src/main/java/io/violetrail/wire/StateWire.java
@@ -85,7 +85,10 @@
   public static List<Change> changes(JsonNode m) {
     List<Change> all = new ArrayList<>();
     for (JsonNode e : m.path("log")) {
-      all.add(e.has("set") ? new Change(e.get("set").asText(), e.get("v"), e.path("stamp").asLong()) : new Change(e.path("drop").asText(), null, e.path("stamp").asLong()));
+      all.add(
+          e.has("set")
+              ? new Change(e.get("set").asText(), e.get("v"), e.path("stamp").asLong())
+              : new Change(e.path("drop").asText(), null, e.path("stamp").asLong()));
     }
     return all;
   }
--- a/src/main/java/io/violetrail/worker/Beats.java
+++ b/src/main/java/io/violetrail/worker/Beats.java
@@ -1,13 +1,13 @@
 package io.violetrail.worker;
 
 import io.violetrail.api.Jobs;
-import io.violetrail.node.Node;
 import io.violetrail.fleet.Machine;
 import io.violetrail.model.Amounts;
 import io.violetrail.model.ControllerId;
 import io.violetrail.model.TaskId;
 import io.violetrail.model.Version;
 import io.violetrail.net.Service.Answer;
+import io.violetrail.node.Node;
 import io.violetrail.ownership.Holding;
 import io.violetrail.ownership.Rows;
 import io.violetrail.ownership.Rows.MachineRow;
@@ -68,7 +68,8 @@
     Holding holding = node.membership.holding(row.entity());
     if (holding == null || holding.phase == Holding.Phase.RELEASING) {
       ControllerId owner = node.directory.ownerOf(row.entity());
-      boolean elsewhere = owner != null && !owner.equals(node.settings.self()) && node.directory.isAlive(owner);
+      boolean elsewhere =
+          owner != null && !owner.equals(node.settings.self()) && node.directory.isAlive(owner);
       done.accept(Answer.of(421, BeatWire.elsewhere(elsewhere ? owner.value() : null)));
       return;
     }
@@ -78,7 +79,8 @@
     }
     Machine machine = holding.active() ? node.machine(holding, row) : null;
     if (machine == null) {
-      Version token = holding.row.version().compareTo(row.term()) >= 0 ? holding.row.version() : row.term();
+      Version token =
+          holding.row.version().compareTo(row.term()) >= 0 ? holding.row.version() : row.term();
       done.accept(Answer.of(200, BeatWire.reply(token, List.of())));
       return;
     }
@@ -88,7 +90,10 @@
   /** A machine that no entity knows: taken into this controller's entity by a conditional write. */
   private void adopt(Beat beat, Consumer<Answer> done) {
     Holding own = node.membership.own();
-    if (own == null || !own.active() || !node.membership.valid() || node.type(beat.type()) == null) {
+    if (own == null
+        || !own.active()
+        || !node.membership.valid()
+        || node.type(beat.type()) == null) {
       done.accept(Answer.of(421, BeatWire.elsewhere(null)));
       return;
     }
@@ -96,9 +101,21 @@
     Version seen = beat.token().compareTo(own.row.version()) > 0 ? beat.token() : own.row.version();
     Version term = seen.nextFor(own.row.version().owner());
     MachineRow row =
-        new MachineRow(beat.machine(), own.entity(), beat.type(), beat.zone(), beat.spot(), true, term, node.loop.wallMillis(), 0);
+        new MachineRow(
+            beat.machine(),
+            own.entity(),
+            beat.type(),
+            beat.zone(),
+            beat.spot(),
+            true,
+            term,
+            node.loop.wallMillis(),
+            0);
     node.store
-        .txn(own.fenced().when(Rows.machine(row.id()), 0).set(Rows.machine(row.id()), Rows.value(row)))
+        .txn(
+            own.fenced()
+                .when(Rows.machine(row.id()), 0)
+                .set(Rows.machine(row.id()), Rows.value(row)))
         .whenComplete(
             (outcome, failure) -> {
               if (failure != null || !outcome.applied()) {
@@ -115,8 +132,12 @@
   }
 
   private void handleAgain(Holding holding, MachineRow row, Beat beat, Consumer<Answer> done) {
-    Machine machine = holding.active() && node.membership.valid() ? node.machine(holding, row) : null;
-    done.accept(machine == null ? Answer.of(421, BeatWire.elsewhere(null)) : report(holding, machine, beat));
+    Machine machine =
+        holding.active() && node.membership.valid() ? node.machine(holding, row) : null;
+    done.accept(
+        machine == null
+            ? Answer.of(421, BeatWire.elsewhere(null))
+            : report(holding, machine, beat));
   }
 
   private Answer report(Holding holding, Machine m, Beat beat) {
@@ -134,7 +155,8 @@
     if (!m.row.up()) {
       node.markUp(holding, m);
     }
-    // A report may have been held back in the network for minutes. It is as old as it may be, unless
+    // A report may have been held back in the network for minutes. It is as old as it may be,
+    // unless
     // its worker has seen our term, or its session has begun after a lease that is surely over.
     if (beat.token().compareTo(m.since) < 0 || beat.session() < m.firstSession) {
       if (!m.heard && m.uncertain(now)) {
@@ -162,7 +184,9 @@
     node.dispatcher.drain(m);
     command(m, now, orders);
     node.dispatcher.wake();
-    return Answer.of(200, BeatWire.reply(token, orders.size() > MAX_ORDERS ? orders.subList(0, MAX_ORDERS) : orders));
+    return Answer.of(
+        200,
+        BeatWire.reply(token, orders.size() > MAX_ORDERS ? orders.subList(0, MAX_ORDERS) : orders));
   }
 
   /** Brings the picture of a machine in line with its newest report. */
@@ -186,7 +210,8 @@
     m.strays.clear();
     m.strays.putAll(strays);
     for (Placement p : List.copyOf(m.tasks.values())) {
-      // Sent in the answer to an earlier report and not in this newer one: it was never taken, or is over.
+      // Sent in the answer to an earlier report and not in this newer one: it was never taken, or
+      // is over.
       if (!p.revocable() && !present.contains(p.task()) && m.tasks.get(p.task()) == p) {
         LOG.debug("task {} try {} is no longer on {}", p.task(), p.attempt, m.id());
         holding.unplace(p, now);
@@ -227,7 +252,8 @@
     return true;
   }
 
-  private void exited(Holding holding, Machine m, Job job, Piece piece, double now, List<Order> orders) {
+  private void exited(
+      Holding holding, Machine m, Job job, Piece piece, double now, List<Order> orders) {
     int index = piece.task().index();
     Placement p = m.tasks.get(piece.task());
     boolean current = p != null && p.attempt == piece.attempt() && !p.revocable();
@@ -257,7 +283,8 @@
   }
 
   /** A task of a job that is over, or that this owner has not loaded. */
-  private void stray(Holding holding, Machine m, Piece piece, Map<TaskId, Amounts> strays, List<Order> orders) {
+  private void stray(
+      Holding holding, Machine m, Piece piece, Map<TaskId, Amounts> strays, List<Order> orders) {
     Jobs.Known known = jobs.known(holding, piece.task().job());
     if (piece.state() != State.EXITED) {
       strays.put(piece.task(), known == null ? m.type.size() : known.amounts());
--- /dev/null
+++ b/src/test/java/io/violetrail/config/SettingsTest.java
@@ -0,0 +1,20 @@
+package io.violetrail.config;
+
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+
+class SettingsTest {
+  @Test
+  void whatCannotBeUsedIsSaidInOneLine() throws Exception {
+    var missing =
+        assertThrows(Settings.Invalid.class, () -> Settings.load(Path.of("no-such-file.toml")));
+    assertTrue(missing.getMessage().contains("no-such-file.toml"));
+    var empty = new TomlMapper().readTree("label = \"a\"");
+    var invalid = assertThrows(Settings.Invalid.class, () -> Settings.read(empty));
+    assertTrue(invalid.getMessage().lines().count() == 1);
+  }
+}
--- /dev/null
+++ b/src/test/java/io/violetrail/fakes/FakeCloud.java
@@ -0,0 +1,105 @@
+package io.violetrail.fakes;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.violetrail.model.Amounts;
+import io.violetrail.model.MachineType;
+import io.violetrail.net.Service;
+import io.violetrail.wire.Cbor;
+import io.violetrail.wire.CloudWire;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/** The cloud by its protocol, in memory. */
+public final class FakeCloud implements Service {
+  private final World world;
+  public final Map<String, FakeWorker> workers = new LinkedHashMap<>();
+  public final List<MachineType> types = new ArrayList<>();
+  public final Map<String, List<String>> hires = new HashMap<>();
+  public int capacity = 20;
+  public boolean down;
+  public double bootS = 3;
+  private int next;
+
+  FakeCloud(World world) {
+    this.world = world;
+    types.add(new MachineType("plain", new Amounts(8, 0, 32), 50, 1, 1, 0.3, 3, List.of("a", "b")));
+  }
+
+  /** A machine that is up from the start and that nobody has rented. */
+  public FakeWorker given(String type, String zone) {
+    FakeWorker w = machine(type, zone, false);
+    w.boot();
+    return w;
+  }
+
+  private FakeWorker machine(String type, String zone, boolean spot) {
+    String id = "vm-%06d".formatted(next++);
+    FakeWorker w =
+        new FakeWorker(
+            world,
+            id,
+            type,
+            zone,
+            spot,
+            types.stream().filter(t -> t.name().equals(type)).findFirst().orElseThrow().size());
+    workers.put(id, w);
+    return w;
+  }
+
+  public List<FakeWorker> running(String task) {
+    return workers.values().stream().filter(w -> w.has(task)).toList();
+  }
+
+  @Override
+  public void handle(String method, String from, byte[] bytes, Consumer<Answer> done) {
+    String path = from.substring(from.indexOf(' ') + 1);
+    if (down) {
+      done.accept(Answer.error(503, "trouble"));
+      return;
+    }
+    try {
+      if (path.equals("/flavors")) {
+        done.accept(Answer.of(200, CloudWire.types(types)));
+      } else if (path.equals("/hosts")) {
+        hire(Cbor.parse(bytes), done);
+      } else if (path.equals("/hosts/return")) {
+        for (var id : Cbor.parse(bytes).get("hosts")) {
+          FakeWorker w = workers.remove(id.asText());
+          if (w != null) {
+            w.destroy();
+          }
+        }
+        done.accept(Answer.of(200, Cbor.map()));
+      }
+    } catch (Cbor.Malformed e) {
+      done.accept(Answer.error(400, e.getMessage()));
+    }
+  }
+
+  private void hire(ObjectNode m, Consumer<Answer> done) {
+    String name = m.get("hire").asText();
+    List<String> given = hires.get(name);
+    if (given == null) {
+      given = new ArrayList<>();
+      for (int i = 0; i < m.get("count").asInt() && workers.size() < capacity; i++) {
+        FakeWorker w =
+            machine(
+                m.get("hosttype").asText(), m.get("yard").asText(), m.get("loaners").asBoolean());
+        given.add(w.id);
+        world.at(bootS, w::boot);
+      }
+      if (given.isEmpty()) {
+        done.accept(Answer.error(503, "no capacity"));
+        return;
+      }
+      hires.put(name, given);
+    }
+    ObjectNode answer = Cbor.map();
+    given.forEach(answer.putArray("hosts")::add);
+    done.accept(Answer.of(200, answer));
+  }
+}
--- /dev/null
+++ b/src/test/java/io/violetrail/fakes/FakeWorker.java
@@ -0,0 +1,193 @@
+package io.violetrail.fakes;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.violetrail.model.Amounts;
+import io.violetrail.net.Http;
+import io.violetrail.wire.Cbor;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** A worker by its protocol. It checks on every start that no other worker has the task. */
+public final class FakeWorker {
+  private static final double ANSWER_S = 4;
+
+  private static final class Piece {
+    String task;
+    long attempt;
+    String status;
+    String cause;
+    double ends;
+  }
+
+  public final String id;
+  private final World world;
+  private final String type;
+  private final String zone;
+  private final boolean spot;
+  private final Map<String, Piece> pieces = new LinkedHashMap<>();
+  public final Map<String, Double> runs = new LinkedHashMap<>();
+  public double runS = 20;
+  public boolean faulty;
+  public Double noticeS;
+  public int launches;
+  private String node;
+  private int at;
+  private long session = 1;
+  private long seq;
+  private long token;
+  private double answered;
+  private boolean up;
+  private boolean inFlight;
+
+  FakeWorker(World world, String id, String type, String zone, boolean spot, Amounts size) {
+    this.world = world;
+    this.id = id;
+    this.type = type;
+    this.zone = zone;
+    this.spot = spot;
+  }
+
+  void boot() {
+    up = true;
+    answered = world.now();
+    at = world.random.nextInt(3);
+    beat();
+    every();
+  }
+
+  void destroy() {
+    up = false;
+    pieces.clear();
+  }
+
+  public boolean has(String task) {
+    Piece p = pieces.get(task);
+    return p != null && !p.status.equals("ended");
+  }
+
+  public String node() {
+    return node;
+  }
+
+  public int active() {
+    return (int) pieces.values().stream().filter(p -> !p.status.equals("ended")).count();
+  }
+
+  private void every() {
+    world.at(
+        world.workers.reportS(),
+        () -> {
+          if (up) {
+            tick();
+            every();
+          }
+        });
+  }
+
+  private void tick() {
+    if (world.now() - answered > world.workers.leaseS()) {
+      session++;
+      pieces.clear();
+      answered = world.now();
+    }
+    for (Piece p : pieces.values()) {
+      if (p.status.equals("running") && (faulty || world.now() >= p.ends)) {
+        p.status = "ended";
+        p.cause = faulty ? "error" : "done";
+      }
+    }
+    if (!inFlight) {
+      beat();
+    }
+  }
+
+  private void beat() {
+    if (world.nodes.isEmpty()) {
+      return;
+    }
+    String target = node != null ? node : World.name(at++ % 3);
+    ObjectNode m =
+        Cbor.map().put("host", id).put("hosttype", type).put("yard", zone).put("loaners", spot);
+    m.put("tenure", session).put("tick", ++seq).put("baton", token).put("warning_s", noticeS);
+    var list = m.putArray("pieces");
+    for (Piece p : pieces.values()) {
+      list.addObject()
+          .put("piece", p.task)
+          .put("try", p.attempt)
+          .put("status", p.status)
+          .put("cause", p.cause);
+    }
+    double sent = world.now();
+    long inSession = session;
+    inFlight = true;
+    world
+        .ask(id, target, "POST", "/agent/beat", Cbor.bytes(m))
+        .whenComplete(
+            (r, failure) -> {
+              inFlight = false;
+              if (up) {
+                answer(r, failure, target, sent, inSession);
+              }
+            });
+  }
+
+  private void answer(Http.Reply r, Throwable failure, String target, double sent, long inSession) {
+    try {
+      if (failure == null && r.status() == 421) {
+        String master = Cbor.parse(r.body()).path("master").asText("");
+        node = master.isEmpty() || master.equals(target) ? null : master;
+        if (node != null) {
+          beat();
+        }
+      } else if (failure != null || r.status() != 200) {
+        node = null;
+      } else {
+        node = target;
+        ObjectNode m = Cbor.parse(r.body());
+        if (m.path("baton").asLong(-1) >= token
+            && inSession == session
+            && world.now() - sent < ANSWER_S) {
+          token = m.get("baton").asLong();
+          answered = sent;
+          m.get("orders").forEach(this::execute);
+        }
+      }
+    } catch (Cbor.Malformed e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private void execute(JsonNode order) {
+    String task = order.get("piece").asText();
+    Piece p = pieces.get(task);
+    switch (order.get("verb").asText()) {
+      case "launch" -> {
+        if (p != null && p.attempt == order.get("try").asLong()) {
+          return;
+        }
+        world.cloud.workers.values().stream()
+            .filter(w -> w != this && w.has(task))
+            .forEach(w -> world.broken.add(task + " is on " + w.id + " and starts on " + id));
+        Piece n = new Piece();
+        n.task = task;
+        n.attempt = order.get("try").asLong();
+        n.status = "running";
+        n.ends = world.now() + runs.getOrDefault(task, runS);
+        pieces.put(task, n);
+        launches++;
+      }
+      case "halt" -> {
+        if (p != null && !p.status.equals("ended")) {
+          p.status = "ended";
+          p.cause = "halted";
+        }
+      }
+      default -> {
+        if (p != null && p.status.equals("ended") && p.attempt == order.get("try").asLong()) {
+          pieces.remove(task);
+        }
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/io/violetrail/fakes/World.java
@@ -0,0 +1,304 @@
+package io.violetrail.fakes;
+
+import io.violetrail.config.Options;
+import io.violetrail.config.Settings;
+import io.violetrail.config.Settings.CloudLimits;
+import io.violetrail.config.Settings.HostPort;
+import io.violetrail.config.Settings.Limits;
+import io.violetrail.config.Settings.Objective;
+import io.violetrail.config.Settings.StateLimits;
+import io.violetrail.config.Settings.Team;
+import io.violetrail.config.Settings.Workers;
+import io.violetrail.model.ControllerId;
+import io.violetrail.net.Http;
+import io.violetrail.net.Loop;
+import io.violetrail.net.Service;
+import io.violetrail.node.Node;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Predicate;
+
+/**
+ * A whole deployment in memory: virtual time, a network that can lose and hold back, the state
+ * service, the cloud, its workers, and controllers that can be killed and started again.
+ */
+public final class World {
+  private static final double DELAY_S = 0.005;
+  public static final HostPort STATE = new HostPort("state", 1);
+  public static final HostPort CLOUD = new HostPort("cloud", 1);
+
+  public final Random random;
+  public final FakeState state = new FakeState(this);
+  public final FakeCloud cloud = new FakeCloud(this);
+  public final Map<String, Node> nodes = new LinkedHashMap<>();
+  public final List<String> broken = new ArrayList<>();
+  public final Map<String, Team> teams = new LinkedHashMap<>();
+  public final Workers workers = new Workers(1, 10, 45, 4, 40);
+  private final Map<HostPort, Service> places = new HashMap<>();
+  private final Map<String, Integer> lives = new HashMap<>();
+  private final PriorityQueue<Event> events = new PriorityQueue<>();
+  private final Set<String> cut = new HashSet<>();
+  private final List<Runnable> held = new ArrayList<>();
+  private Predicate<String> hold = m -> false;
+  private final int count;
+  private double now = 100;
+  private long order;
+
+  private record Event(double at, long order, Runnable task) implements Comparable<Event> {
+    @Override
+    public int compareTo(Event o) {
+      return at != o.at ? Double.compare(at, o.at) : Long.compare(order, o.order);
+    }
+  }
+
+  public World(int controllers, long seed) {
+    random = new Random(seed);
+    count = controllers;
+    teams.put("red", new Team("red", 0, 0, Double.POSITIVE_INFINITY, Double.POSITIVE_INFINITY));
+    places.put(STATE, state);
+    places.put(CLOUD, cloud);
+  }
+
+  /** Starts all controllers and lets them settle. */
+  public World up() {
+    for (int i = 0; i < count; i++) {
+      start(name(i));
+    }
+    return run(5);
+  }
+
+  public static String name(int i) {
+    return "c" + i;
+  }
+
+  public double now() {
+    return now;
+  }
+
+  public World run(double seconds) {
+    double until = now + seconds;
+    while (!events.isEmpty() && events.peek().at <= until) {
+      Event e = events.poll();
+      now = Math.max(now, e.at);
+      e.task.run();
+    }
+    now = until;
+    return this;
+  }
+
+  /** Runs until the condition holds; fails the story if it does not within the time. */
+  public World until(double atMost, java.util.function.BooleanSupplier condition) {
+    double end = now + atMost;
+    while (!condition.getAsBoolean()) {
+      if (now >= end) {
+        throw new AssertionError("not within " + atMost + " s");
+      }
+      run(0.1);
+    }
+    return this;
+  }
+
+  public void at(double inSeconds, Runnable task) {
+    events.add(new Event(now + inSeconds, order++, task));
+  }
+
+  public Node start(String name) {
+    int life = lives.merge(name, 1, Integer::sum);
+    Settings settings = settings(name);
+    NodeLoop loop = new NodeLoop(name, life);
+    Node node =
+        new Node(
+            settings,
+            Options.DEFAULTS,
+            loop,
+            (to, method, path, body, timeout) -> call(name, life, to, method, path, body, timeout),
+            new Random(random.nextLong()));
+    nodes.put(name, node);
+    places.put(settings.api(), guarded(name, life, node.api));
+    places.put(settings.listen(), guarded(name, life, node.peerService()));
+    node.start();
+    return node;
+  }
+
+  public void kill(String name) {
+    lives.merge(name, 1, Integer::sum);
+    nodes.remove(name);
+  }
+
+  private boolean lives(String name, int life) {
+    return lives.get(name) == life;
+  }
+
+  private Service guarded(String name, int life, Service service) {
+    return (method, path, body, done) -> {
+      if (lives(name, life)) {
+        service.handle(method, path, body, done);
+      }
+    };
+  }
+
+  /** Nothing goes to or comes from the host until it is mended. */
+  public void cut(String host) {
+    cut.add(host);
+  }
+
+  public void mend(String host) {
+    cut.remove(host);
+  }
+
+  /**
+   * Messages whose "from to method path" matches are kept, and delivered late by {@link #release}.
+   */
+  public void hold(Predicate<String> which) {
+    hold = which;
+  }
+
+  public void release() {
+    hold = m -> false;
+    List<Runnable> late = new ArrayList<>(held);
+    held.clear();
+    late.forEach(Runnable::run);
+  }
+
+  public int heldBack() {
+    return held.size();
+  }
+
+  public CompletableFuture<Http.Reply> call(
+      String from,
+      int life,
+      HostPort to,
+      String method,
+      String path,
+      byte[] body,
+      double timeoutS) {
+    CompletableFuture<Http.Reply> future = new CompletableFuture<>();
+    at(
+        timeoutS,
+        () -> {
+          if (!future.isDone() && alive(from, life)) {
+            future.completeExceptionally(new IOException("time out"));
+          }
+        });
+    Runnable deliver =
+        () -> {
+          Service service = places.get(to);
+          if (service != null) {
+            service.handle(
+                method,
+                inner(to) ? from + " " + path : path,
+                body,
+                answer ->
+                    at(
+                        DELAY_S,
+                        () -> {
+                          if (!future.isDone()
+                              && alive(from, life)
+                              && !cut.contains(from)
+                              && !cut.contains(to.host())) {
+                            future.complete(new Http.Reply(answer.status(), answer.body()));
+                          }
+                        }));
+          }
+        };
+    at(
+        DELAY_S,
+        () -> {
+          if (hold.test(from + " " + to.host() + " " + method + " " + path)) {
+            held.add(deliver);
+          } else if (!cut.contains(from) && !cut.contains(to.host())) {
+            deliver.run();
+          }
+        });
+    return future;
+  }
+
+  private static boolean inner(HostPort to) {
+    return to.equals(STATE) || to.equals(CLOUD);
+  }
+
+  private boolean alive(String from, int life) {
+    return life < 0 || lives(from, life);
+  }
+
+  /** A user's or worker's call to a controller. */
+  public CompletableFuture<Http.Reply> ask(
+      String from, String node, String method, String path, byte[] body) {
+    return call(from, -1, api(node), method, path, body, 5);
+  }
+
+  public static HostPort api(String node) {
+    return new HostPort(node, 8080);
+  }
+
+  public Settings settings(String name) {
+    Map<ControllerId, HostPort> peers = new LinkedHashMap<>();
+    for (int i = 0; i < count; i++) {
+      if (!name(i).equals(name)) {
+        peers.put(new ControllerId(name(i)), new HostPort(name(i), 8081));
+      }
+    }
+    return new Settings(
+        new ControllerId(name),
+        "z",
+        api(name),
+        new HostPort(name, 8081),
+        peers,
+        CLOUD,
+        STATE,
+        0.1,
+        teams,
+        List.of(new Objective("wait", "urgent", 8, 0.9)),
+        workers,
+        new StateLimits(500, 200, 8192, 24),
+        new CloudLimits(20, 5),
+        new Limits(1, 200, 500));
+  }
+
+  private final class NodeLoop implements Loop {
+    private final String name;
+    private final int life;
+
+    NodeLoop(String name, int life) {
+      this.name = name;
+      this.life = life;
+    }
+
+    @Override
+    public long nanos() {
+      return (long) (now * 1e9);
+    }
+
+    @Override
+    public long wallMillis() {
+      return 1_700_000_000_000L + (long) (now * 1000);
+    }
+
+    @Override
+    public void execute(Runnable task) {
+      after(0, task);
+    }
+
+    @Override
+    public Cancellable after(double seconds, Runnable task) {
+      boolean[] off = new boolean[1];
+      at(
+          seconds,
+          () -> {
+            if (!off[0] && lives(name, life)) {
+              task.run();
+            }
+          });
+      return () -> off[0] = true;
+    }
+  }
+}
