--- a/src/main/java/io/violetrail/api/Jobs.java
+++ b/src/main/java/io/violetrail/api/Jobs.java
@@ -117,7 +117,7 @@
 
   /** Reads a job's row, which is never stale. */
   public CompletableFuture<Found> lookUp(JobId id) {
-    return node.store.get(Rows.job(id)).thenApply(entry -> found(id, entry));
+    return node.store.getForUser(Rows.job(id)).thenApply(entry -> found(id, entry));
   }
 
   private Found found(JobId id, Entry entry) {
@@ -152,6 +152,10 @@
         .put("memory", s.task().memoryGb());
   }
 
+  private Job job(JobSpec spec, long arrivedMs, double arrivedS, boolean recovered) {
+    return new Job(spec, arrivedMs, arrivedS, recovered, node.dispatcher.spareWork(spec));
+  }
+
   /** Stores a new job. True: it is this entity's now. False: the id is taken already. */
   public CompletableFuture<Boolean> store(Holding h, JobSpec spec) {
     long nowMs = node.loop.wallMillis();
@@ -176,7 +180,7 @@
               } else if (outcome.applied()) {
                 bound.put(spec.id(), h.entity());
                 if (h.active()) {
-                  h.jobs.putIfAbsent(spec.id(), new Job(spec, nowMs, nowS, false));
+                  h.jobs.putIfAbsent(spec.id(), job(spec, nowMs, nowS, false));
                   node.fleet.spares.arrived(spec, nowS);
                   node.dispatcher.changed(h);
                 }
@@ -248,7 +252,7 @@
       try {
         long arrived = e.value().path("arrived").asLong();
         Job job =
-            new Job(
+            job(
                 JobWire.spec(e.value().path("spec")),
                 arrived,
                 nowS - Math.max(0, nowMs - arrived) / 1000.0,
--- a/src/main/java/io/violetrail/api/UserApi.java
+++ b/src/main/java/io/violetrail/api/UserApi.java
@@ -269,7 +269,7 @@
     if (owner == null || owner.equals(node.settings.self()) || !node.directory.isAlive(owner)) {
       return CompletableFuture.failedFuture(new IllegalStateException("no owner to ask"));
     }
-    return node.peers.ask(owner, id, false);
+    return node.peers.view(owner, id);
   }
 
   private void abort(String text, Consumer<Answer> done) {
@@ -302,7 +302,7 @@
                 if (owner == null || owner.equals(node.settings.self())) {
                   done.accept(Answer.later("the job's owner is not ready"));
                 } else {
-                  answer(node.peers.ask(owner, id, true), done);
+                  answer(node.peers.cancel(owner, id), done);
                 }
               }
             });
--- a/src/main/java/io/violetrail/config/Settings.java
+++ b/src/main/java/io/violetrail/config/Settings.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import com.google.common.primitives.Ints;
 import io.violetrail.model.ControllerId;
 import io.violetrail.model.Version;
 import java.io.IOException;
@@ -31,7 +32,16 @@
     Limits limits) {
 
   /** An address by number. */
-  public record HostPort(String host, int port) {}
+  public record HostPort(String host, int port) {
+    /** The address in a text like 10.0.0.1:8080; null if it is none. */
+    public static HostPort parse(String text) {
+      int colon = text == null ? -1 : text.lastIndexOf(':');
+      Integer port = colon > 0 ? Ints.tryParse(text.substring(colon + 1)) : null;
+      return port != null && port > 0 && port < 65536
+          ? new HostPort(text.substring(0, colon), port)
+          : null;
+    }
+  }
 
   /** Guarantee and limit of a team; infinite where the file says 0. */
   public record Team(String name, double cpus, double gpus, double cpusMax, double gpusMax) {}
@@ -227,14 +237,9 @@
 
   private static HostPort address(JsonNode m, String name) throws Invalid {
     String text = text(m, name);
-    int colon = text.lastIndexOf(':');
-    try {
-      int port = Integer.parseInt(text.substring(colon + 1));
-      if (colon > 0 && port > 0 && port < 65536) {
-        return new HostPort(text.substring(0, colon), port);
-      }
-    } catch (NumberFormatException e) {
-      // Reported below, like every other wrong form.
+    HostPort address = HostPort.parse(text);
+    if (address != null) {
+      return address;
     }
     throw new Invalid(name + " must be an address like 10.0.0.1:8080, not " + text);
   }
--- a/src/main/java/io/violetrail/fleet/Fleet.java
+++ b/src/main/java/io/violetrail/fleet/Fleet.java
@@ -43,6 +43,7 @@
   private final Hires hires;
   private final Inventory inventory;
   public final Spares spares;
+  public final Boots boots = new Boots();
   private double typesAtS = Double.NEGATIVE_INFINITY;
   private boolean returning;
   private int tasteSeed;
@@ -115,8 +116,13 @@
           surplus = surplus(h, now);
         }
         if (!idle(m) || dispensable(m, surplus)) {
-          m.returning = true;
-          out.add(m);
+          if (m.empty() || !idle(m)) {
+            m.returning = true;
+            out.add(m);
+          } else {
+            // Only spare work is left here: it saves, and the machine goes.
+            m.draining = true;
+          }
         }
       }
     }
@@ -178,7 +184,7 @@
       return false;
     }
     if (!m.row.up()) {
-      return now - m.rentedS > Math.max(60, 3 * m.type.bootS() + 20);
+      return boots.givenUp(m.type, m.rentedS, now);
     }
     if (m.uncertain(now) && now - m.heardS > findsUsS()) {
       // Everything recovered waits for what it may hold, and the cloud's answer settles that.
@@ -191,7 +197,7 @@
       return m.empty();
     }
     return m.heard
-        && m.empty()
+        && (m.empty() || m.spare() && !m.row.spot())
         && now - m.idleSinceS > node.prices().idleS(m.type, m.row.spot(), node.options.idleS());
   }
 
@@ -200,6 +206,9 @@
       return;
     }
     double age = node.loop.seconds() - m.rentedS;
+    if (!m.row.up()) {
+      boots.never(m.type, m.rentedS);
+    }
     LOG.info(
         "machine {} ({}, spot {}) returned after {} s, used {} s",
         m.id(),
@@ -231,9 +240,14 @@
             job -> node.dispatcher.worth(job, now),
             mayBoot(),
             tasteSeed);
+    int replaced = maxReplaced(h);
     for (Machine m : h.machines.values()) {
       if (!m.row.up() && !m.returning) {
-        plan.coming(offer(m), m.type.size());
+        if (replaced > 0 && boots.late(m.type, m.rentedS, now)) {
+          replaced--;
+        } else {
+          plan.coming(offer(m), m.type.size());
+        }
       } else if (m.open()) {
         plan.there(offer(m), roomSoon(m, now));
       }
@@ -248,11 +262,17 @@
         });
     boolean uncertain = h.uncertain(now);
     Map<String, Amounts> left = new HashMap<>();
+    List<Job> spareWork = new ArrayList<>();
     for (Job job : node.dispatcher.order(h)) {
+      if (job.spareWork) {
+        spareWork.add(job);
+        continue;
+      }
       boolean urgent = spares.urgent(job.spec, node.types().values());
       boolean peersFirst =
           !urgent && now - job.arrivedS < Sharing.FIRST_S && node.directory.aliveCount() > 1;
-      if (job.unplaced() == 0 || job.recovered && uncertain || peersFirst) {
+      boolean probe = job.trial.suspect() && placeable(h, job);
+      if (job.mayStart(now) == 0 || job.recovered && uncertain || peersFirst || probe) {
         continue;
       }
       Amounts quota = left.computeIfAbsent(job.spec.team(), t -> node.dispatcher.quota(h, t, now));
@@ -263,9 +283,37 @@
     if (plan.wanted().isEmpty() && pending.isEmpty()) {
       keepSpares(h, plan, now);
     }
+    for (Job job : spareWork) {
+      if (!job.trial.suspect() && !(job.recovered && uncertain)) {
+        plan.demand(job, job.unplaced(), false);
+      }
+    }
     plan.wanted().forEach((offer, count) -> hires.hire(h, offer, count));
   }
 
+  /**
+   * How many machines that are late may be replaced at the same time: where all boots are slow, the
+   * fleet must not double.
+   */
+  private static int maxReplaced(Holding h) {
+    int up = 0;
+    for (Machine m : h.machines.values()) {
+      up += m.row.up() ? 1 : 0;
+    }
+    return Math.max(2, up / 4);
+  }
+
+  /** Whether a probe of a job that fails everywhere finds a machine that is there anyway. */
+  private static boolean placeable(Holding h, Job job) {
+    int room = 0;
+    for (Machine m : h.machines.values()) {
+      if (m.open() && job.spec.allows(m.row.type(), m.row.zone(), m.row.spot())) {
+        room += m.type.size().count(job.spec.task());
+      }
+    }
+    return room >= (job.spec.shape() == Shape.GANG ? job.spec.tasks() : 1);
+  }
+
   /**
    * How many machines may be on their way: each takes about three writes until it works, and those
    * must not take longer than a boot.
@@ -320,7 +368,7 @@
 
   /** How many of a job's waiting tasks are worth machines of their own, the rest taking turns. */
   private int wanted(Job job, double now) {
-    int waiting = job.unplaced();
+    int waiting = job.mayStart(now);
     if (job.spec.shape() != Shape.ARRAY) {
       return waiting;
     }
--- a/src/main/java/io/violetrail/fleet/Machine.java
+++ b/src/main/java/io/violetrail/fleet/Machine.java
@@ -1,5 +1,6 @@
 package io.violetrail.fleet;
 
+import io.violetrail.config.Settings.HostPort;
 import io.violetrail.model.Amounts;
 import io.violetrail.model.MachineId;
 import io.violetrail.model.MachineType;
@@ -65,9 +66,23 @@
   public Job reservedFor;
 
   public double reservedUntilS;
+
+  /** No spare work is started here until then: others need the machine. */
+  public double clearedUntilS;
+
+  /** Where its worker answers; null until it has reported here. */
+  public HostPort endpoint;
+
+  /** Tasks here that are not spare work. */
+  private int wanted;
+
   public boolean marking;
-  public int failures;
-  public final Set<Object> failedJobs = new HashSet<>();
+
+  /** Failures here of each job since something ended well here. */
+  public final Map<Job, Integer> failures = new HashMap<>();
+
+  /** It fails what it starts, by what its failures say now. */
+  public boolean sick;
 
   public Machine(MachineRow row, MachineType type, Version since, double now) {
     this.row = row;
@@ -94,13 +109,16 @@
   }
 
   public void add(Placement p) {
-    tasks.put(p.task(), p);
+    Placement before = tasks.put(p.task(), p);
+    wanted += (p.job.spareWork ? 0 : 1) - (before == null || before.job.spareWork ? 0 : 1);
     room = null;
   }
 
   public boolean remove(Placement p) {
     room = null;
-    return tasks.remove(p.task(), p);
+    boolean removed = tasks.remove(p.task(), p);
+    wanted -= removed && !p.job.spareWork ? 1 : 0;
+    return removed;
   }
 
   public Map<TaskId, Amounts> strays() {
@@ -159,6 +177,11 @@
     return tasks.isEmpty() && strays.isEmpty();
   }
 
+  /** Whether nothing but spare work is here, if anything. */
+  public boolean spare() {
+    return wanted == 0 && strays.isEmpty();
+  }
+
   /** Whether it may still hold a task that this controller does not know of. */
   public boolean uncertain(double now) {
     return !heard && now < unheardGoneS;
--- a/src/main/java/io/violetrail/fleet/Sharing.java
+++ b/src/main/java/io/violetrail/fleet/Sharing.java
@@ -83,7 +83,8 @@
     boolean uncertain = h.uncertain(now);
     for (Job job : node.dispatcher.order(h)) {
       int waiting = job.unplaced();
-      if (waiting == 0 || job.recovered && uncertain) {
+      // Nothing is gathered for what fails wherever it goes, or for what runs in spare room.
+      if (waiting == 0 || job.spareWork || job.trial.suspect() || job.recovered && uncertain) {
         continue;
       }
       String kind = (job.spec.task().gpus() > 0) + " " + job.spec.shape();
@@ -167,15 +168,25 @@
         return;
       }
       int fit = m.type.size().count(need.task());
-      if (fit > 0
-          && m.open()
-          && m.empty()
-          && need.allows(m.row.type(), m.row.zone(), m.row.spot())
-          && suits(m, need.gpus())) {
+      if (fit > 0 && m.empty() && passable(m, need)) {
         left -= fit;
         pass(h, m, target);
       }
     }
+    for (Machine m : h.machines.values()) {
+      int fit = m.type.size().count(need.task());
+      if (left > 0 && fit > 0 && !m.empty() && m.spare() && passable(m, need)) {
+        // It passes at the next asking, once what runs there in spare room has saved.
+        left -= fit;
+        node.dispatcher.clear(h, m);
+      }
+    }
+  }
+
+  private static boolean passable(Machine m, Need need) {
+    return m.open()
+        && need.allows(m.row.type(), m.row.zone(), m.row.spot())
+        && suits(m, need.gpus());
   }
 
   /** Accelerators do not go to work that needs none. */
@@ -188,7 +199,8 @@
    */
   private boolean wantedHere(Holding h, Need need) {
     for (Job job : h.jobs.values()) {
-      if (job.phase != Job.Phase.OPEN || job.unplaced() == 0) {
+      boolean waits = job.phase == Job.Phase.OPEN && job.unplaced() > 0;
+      if (!waits || job.spareWork || job.trial.suspect()) {
         continue;
       }
       int priority = job.spec.priority().ordinal();
@@ -287,7 +299,7 @@
       boolean first =
           job.spec.priority().ordinal() <= need.priority() && job.arrivedMs <= need.arrivedMs();
       if (job.phase == Job.Phase.OPEN && first && job.spec.team().equals(need.team())) {
-        sum = sum.plus(job.spec.task().times(job.unplaced()));
+        sum = sum.plus(job.spec.task().times(job.mayStart(node.loop.seconds())));
       }
     }
     return new Amounts(sum.cpus(), sum.gpus(), 0);
--- a/src/main/java/io/violetrail/node/Node.java
+++ b/src/main/java/io/violetrail/node/Node.java
@@ -29,6 +29,7 @@
 import io.violetrail.state.StateStore;
 import io.violetrail.wire.Cbor.Malformed;
 import io.violetrail.wire.CloudWire;
+import io.violetrail.worker.Hearing;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -56,6 +57,7 @@
   public final UserApi api;
   public final Peers peers;
   public final Sharing sharing;
+  public final Hearing hearing;
   public final Estimates estimates = new Estimates();
 
   private final Map<String, MachineType> types = new HashMap<>();
@@ -78,6 +80,7 @@
     this.peers = new Peers(this, http);
     this.sharing = new Sharing(this);
     this.fleet = new Fleet(this, new CloudClient(loop, http, settings));
+    this.hearing = new Hearing(this, http);
     this.api = new UserApi(this, jobs);
   }
 
@@ -89,6 +92,7 @@
     membership.start();
     dispatcher.start();
     fleet.start();
+    hearing.start();
   }
 
   /** The type as last told by the cloud or stored by a controller; null if not known. */
@@ -172,6 +176,7 @@
               m.marking = false;
               if (failure == null) {
                 if (!m.row.up()) {
+                  fleet.boots.up(m.type, loop.seconds() - m.rentedS, loop.seconds());
                   // Its boot is not idleness: dear machines were returned the moment they came up.
                   m.idleSinceS = loop.seconds();
                 }
@@ -294,6 +299,11 @@
     }
   }
 
+  @Override
+  public boolean deaf() {
+    return hearing.deaf();
+  }
+
   @Override
   public void askBack(ControllerId owner) {
     peers.askBack(owner);
--- a/src/main/java/io/violetrail/ownership/Holding.java
+++ b/src/main/java/io/violetrail/ownership/Holding.java
@@ -148,8 +148,10 @@
   public void unplace(Placement p, double now) {
     count(p, -1);
     p.job.unplace(p);
+    boolean spareBefore = p.machine.spare();
     p.machine.remove(p);
-    if (p.machine.empty()) {
+    // Spare work does not keep an ordinary machine rented: its idleness began before.
+    if (!spareBefore && p.machine.spare() || p.machine.empty() && p.machine.row.spot()) {
       p.machine.idleSinceS = now;
     }
     if (p.job.phase == Job.Phase.OVER && p.job.nothingPlaced()) {
--- a/src/main/java/io/violetrail/ownership/Membership.java
+++ b/src/main/java/io/violetrail/ownership/Membership.java
@@ -49,6 +49,9 @@
 
     void changed();
 
+    /** Whether this controller is cut off from its workers, so that others are to own entities. */
+    boolean deaf();
+
     /** Asks the current owner of this controller's own entity to hand it back. */
     void askBack(ControllerId owner);
   }
@@ -322,7 +325,9 @@
         }
       } else if (owner != null && directory.isAlive(owner)) {
         absentSince.remove(owner);
-        if (row.entity().equals(settings.self()) && loop.seconds() - askedBackS > 1) {
+        if (row.entity().equals(settings.self())
+            && !listener.deaf()
+            && loop.seconds() - askedBackS > 1) {
           askedBackS = loop.seconds();
           listener.askBack(owner);
         }
@@ -334,6 +339,9 @@
 
   /** Whether it is this controller's turn to take what a lapsed owner had. */
   private boolean due(ControllerId owner) {
+    if (listener.deaf() && directory.aliveCount() > 1) {
+      return false;
+    }
     double now = loop.seconds();
     double since = absentSince.computeIfAbsent(owner, o -> now);
     int rank = 0;
--- a/src/main/java/io/violetrail/peer/Peers.java
+++ b/src/main/java/io/violetrail/peer/Peers.java
@@ -4,6 +4,7 @@
 import com.esotericsoftware.kryo.KryoException;
 import com.esotericsoftware.kryo.io.Input;
 import com.esotericsoftware.kryo.io.Output;
+import com.google.common.base.Splitter;
 import io.violetrail.config.Settings.HostPort;
 import io.violetrail.model.ControllerId;
 import io.violetrail.model.JobId;
@@ -16,9 +17,12 @@
 import io.violetrail.ownership.Holding;
 import io.violetrail.state.StateStore.Unavailable;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -26,11 +30,13 @@
 public final class Peers implements Service {
   private static final Logger LOG = LoggerFactory.getLogger(Peers.class);
   private static final double TIMEOUT_S = 1.2;
+  private static final double CANCEL_S = 3;
   private static final String PATH = "/peer";
   private static final int MAX_MESSAGE = 64 * 1024;
 
   private final Node node;
   private final Http http;
+  private final Views views = new Views(this::views);
   private Kryo kryo;
 
   public Peers(Node node, Http http) {
@@ -45,7 +51,9 @@
     HAND_BACK,
     MOVED,
     NEED,
-    SOLD_OUT
+    SOLD_OUT,
+    /** Whether workers are heard there. */
+    HEARS
   }
 
   /** A question about a job or an entity. */
@@ -56,9 +64,25 @@
     }
   }
 
-  /** An answer: whether it is known, and a job's state. */
-  public record Reply(boolean known, String status, int done, int running) {
-    static final Reply UNKNOWN = new Reply(false, "", 0, 0);
+  /** An answer: whether it is known, and the states of the jobs asked for that are. */
+  public record Reply(boolean known, ArrayList<View> views) {
+    static final Reply UNKNOWN = new Reply(false, new ArrayList<>());
+    static final Reply YES = new Reply(true, new ArrayList<>());
+
+    static Reply of(JobView v) {
+      return new Reply(true, new ArrayList<>(List.of(View.of(v))));
+    }
+  }
+
+  /** A job's state. */
+  public record View(String id, String status, int done, int running) {
+    static View of(JobView v) {
+      return new View(v.id(), v.status().name(), v.done(), v.running());
+    }
+
+    JobView view() {
+      return new JobView(id, JobView.Status.valueOf(status), done, running);
+    }
   }
 
   /** Writes and reads a message, so that the classes for it are loaded. */
@@ -66,7 +90,7 @@
     Peers p = new Peers(null, null);
     ArrayList<Need> needs = new ArrayList<>(List.of(Need.machines(spec, 1, 0)));
     p.read(p.bytes(new Question(Kind.NEED, "a", "b", 0, needs)), Question.class);
-    p.read(p.bytes(Reply.UNKNOWN), Reply.class);
+    p.read(p.bytes(Reply.of(new JobView("a", JobView.Status.DONE, 1, 0))), Reply.class);
   }
 
   private Kryo kryo() {
@@ -80,6 +104,7 @@
       kryo.register(Kind.class);
       kryo.register(Question.class);
       kryo.register(Reply.class);
+      kryo.register(View.class);
     }
     return kryo;
   }
@@ -94,23 +119,41 @@
     return kryo().readObject(new Input(bytes), type);
   }
 
-  /** Asks the owner of a job for its current state, or to cancel it. */
-  public CompletableFuture<JobView> ask(ControllerId owner, JobId id, boolean cancel) {
+  /** Asks the owner of a job for its current state. */
+  public CompletableFuture<JobView> view(ControllerId owner, JobId id) {
+    return views.ask(owner, id);
+  }
+
+  private CompletableFuture<Map<JobId, JobView>> views(ControllerId owner, List<JobId> jobs) {
+    String ids = jobs.stream().map(JobId::value).collect(Collectors.joining(" "));
+    return call(owner, new Question(Kind.VIEW, node.settings.self().value(), ids, 0), TIMEOUT_S)
+        .thenApply(
+            r -> {
+              Map<JobId, JobView> known = new HashMap<>();
+              r.views().forEach(v -> known.put(new JobId(v.id()), v.view()));
+              return known;
+            });
+  }
+
+  /** Asks the owner of a job to cancel it. */
+  public CompletableFuture<JobView> cancel(ControllerId owner, JobId id) {
     return call(
-            owner,
-            new Question(
-                cancel ? Kind.CANCEL : Kind.VIEW, node.settings.self().value(), id.value(), 0),
-            cancel ? 3 : TIMEOUT_S)
+            owner, new Question(Kind.CANCEL, node.settings.self().value(), id.value(), 0), CANCEL_S)
         .thenApply(
             r -> {
-              if (!r.known()) {
+              if (!r.known() || r.views().isEmpty()) {
                 throw new Unavailable("the owner does not know", 404);
               }
-              return new JobView(
-                  id.value(), JobView.Status.valueOf(r.status()), r.done(), r.running());
+              return r.views().get(0).view();
             });
   }
 
+  /** Whether a peer hears workers. */
+  public CompletableFuture<Boolean> hears(ControllerId peer) {
+    return call(peer, new Question(Kind.HEARS, node.settings.self().value(), "", 0), TIMEOUT_S)
+        .thenApply(Reply::known);
+  }
+
   public void askBack(ControllerId owner) {
     call(
         owner,
@@ -192,7 +235,8 @@
     Consumer<Reply> reply =
         r -> done.accept(new Answer(200, bytes(r), 0, "application/octet-stream"));
     switch (q.kind()) {
-      case VIEW -> reply.accept(view(new JobId(q.subject())));
+      case VIEW -> reply.accept(views(q.subject()));
+      case HEARS -> reply.accept(node.hearing.hears() ? Reply.YES : Reply.UNKNOWN);
       case CANCEL -> cancel(new JobId(q.subject()), reply);
       case HAND_BACK -> {
         Holding h = node.membership.holding(new ControllerId(q.subject()));
@@ -219,29 +263,33 @@
     }
   }
 
-  private Reply view(JobId id) {
-    JobView view = node.jobs.terminalView(id);
-    if (view == null && node.membership.valid()) {
-      view = node.openView(id);
+  private Reply views(String ids) {
+    ArrayList<View> known = new ArrayList<>();
+    for (String text : Splitter.on(' ').limit(Views.MOST).split(ids)) {
+      JobId id = new JobId(text);
+      JobView view = node.jobs.terminalView(id);
+      if (view == null && node.membership.valid()) {
+        view = node.openView(id);
+      }
+      if (view != null) {
+        known.add(View.of(view));
+      }
     }
-    return view == null ? Reply.UNKNOWN : reply(view);
-  }
-
-  private static Reply reply(JobView v) {
-    return new Reply(true, v.status().name(), v.done(), v.running());
+    return new Reply(true, known);
   }
 
   private void cancel(JobId id, Consumer<Reply> reply) {
     JobView view = node.jobs.terminalView(id);
     Holding h = node.holdingOf(id);
     if (view != null) {
-      reply.accept(reply(view));
+      reply.accept(Reply.of(view));
     } else if (h == null || !node.membership.valid()) {
       reply.accept(Reply.UNKNOWN);
     } else {
       node.jobs
           .cancel(h, h.jobs.get(id))
-          .whenComplete((v, failure) -> reply.accept(failure == null ? reply(v) : Reply.UNKNOWN));
+          .whenComplete(
+              (v, failure) -> reply.accept(failure == null ? Reply.of(v) : Reply.UNKNOWN));
     }
   }
 }
--- a/src/main/java/io/violetrail/scheduling/Aims.java
+++ b/src/main/java/io/violetrail/scheduling/Aims.java
@@ -1,9 +1,12 @@
 package io.violetrail.scheduling;
 
 import io.violetrail.config.Settings.Objective;
+import io.violetrail.config.Settings.Team;
 import io.violetrail.model.JobSpec;
+import io.violetrail.model.Priority;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 
 /** When jobs are expected to be complete, by their deadlines and by the users' objectives. */
 public final class Aims {
@@ -19,10 +22,30 @@
   /** and at the last moment to start in time this much more. */
   private static final double WORTH_PRESSED = 2;
 
+  /** Spare work is worth what is cheaper than any ordinary machine, however long it waits. */
+  private static final double WORTH_SPARE = 0.99;
+
   private final List<Objective> objectives;
+  private final Map<String, Team> teams;
 
-  public Aims(List<Objective> objectives) {
+  public Aims(List<Objective> objectives, Map<String, Team> teams) {
     this.objectives = objectives;
+    this.teams = teams;
+  }
+
+  /**
+   * Whether nobody expects the job by any moment: of the lowest priority, of a team without a
+   * guarantee, without a deadline or an objective for its class. It gets done in room that is there
+   * anyway and on cheap machines; rented for like other work, it was paid for at the dearest price
+   * once it had waited long.
+   */
+  public boolean spareWork(JobSpec job) {
+    Team team = teams.get(job.team());
+    boolean guaranteed = team != null && (team.cpus() > 0 || team.gpus() > 0);
+    return job.priority() == Priority.LOW
+        && !guaranteed
+        && job.deadlineS() == null
+        && objectives.stream().noneMatch(o -> job.jobClass().equals(o.jobClass()));
   }
 
   /**
@@ -56,6 +79,9 @@
    * by, that grows as the time to start in runs out: what has time left waits for a cheap place.
    */
   public double worth(Job job, double now, double runS) {
+    if (job.spareWork) {
+      return WORTH_SPARE;
+    }
     double waited = now - job.arrivedS;
     double due = nextDueS(job, now, runS);
     if (Double.isInfinite(due)) {
--- /dev/null
+++ b/src/main/java/io/violetrail/scheduling/Blame.java
@@ -0,0 +1,65 @@
+package io.violetrail.scheduling;
+
+import io.violetrail.fleet.Machine;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Whose fault a failed task is: its machine's or its job's. Jobs that were submitted with a mistake
+ * fail everywhere, and once drained good machines wave after wave.
+ */
+public final class Blame {
+  private static final Logger LOG = LoggerFactory.getLogger(Blame.class);
+
+  /** So much evidence, one for each job not suspect, and a machine is out of use. */
+  private static final double SICK = 2;
+
+  /** A suspect job says this much: six of them and nothing that ended well are no accident. */
+  private static final double SUSPECT_SAYS = 1.0 / 3;
+
+  /** So many failures of a job that runs well elsewhere are the machine's. */
+  private static final int FAILURES = 3;
+
+  private Blame() {}
+
+  /** A task has ended with an error. */
+  public static void failed(Machine m, Job job, double ranS, double now) {
+    job.trial.failed(m, ranS, now);
+    m.failures.merge(job, 1, Integer::sum);
+    judge(m);
+    if (job.doneCount() == 0 && !job.trial.suspect() && job.trial.machinesInUse() >= 2) {
+      job.trial.suspect(true);
+      LOG.info("job {} fails wherever it goes: one probe at a time", job.spec.id());
+      job.trial.machines().forEach(Blame::judge);
+    }
+  }
+
+  /** A task has ended well: that clears its machine, and convicts those on which its job failed. */
+  public static void endedWell(Machine m, Job job) {
+    m.failures.clear();
+    if (job.trial.failedAnywhere()) {
+      job.trial.endedWell();
+      job.notBefore.clear();
+      job.trial.machines().forEach(Blame::judge);
+    }
+  }
+
+  private static void judge(Machine m) {
+    double evidence = 0;
+    for (var e : m.failures.entrySet()) {
+      Job job = e.getKey();
+      boolean proven = job.doneCount() > 0;
+      double says = job.trial.suspect() ? SUSPECT_SAYS : 1;
+      evidence += proven && e.getValue() >= FAILURES ? SICK : says;
+    }
+    boolean sick = evidence >= SICK - 1e-9;
+    if (sick && !m.sick) {
+      LOG.info("machine {} fails what it starts: out of use", m.id());
+      m.draining = true;
+    } else if (!sick && m.sick && !m.returning) {
+      LOG.info("machine {} is in use again: the jobs that failed there fail everywhere", m.id());
+      m.draining = false;
+    }
+    m.sick = sick;
+  }
+}
--- a/src/main/java/io/violetrail/scheduling/Dispatcher.java
+++ b/src/main/java/io/violetrail/scheduling/Dispatcher.java
@@ -23,7 +23,6 @@
   private static final double GATHER_S = 0.02;
 
   private static final double TICK_S = 0.5;
-  private static final double MAX_BACKOFF_S = 60;
 
   /**
    * A pass is followed by this many times its own length without one, so that reports and renewals
@@ -45,7 +44,7 @@
 
   public Dispatcher(Node node) {
     this.node = node;
-    this.aims = new Aims(node.settings.objectives());
+    this.aims = new Aims(node.settings.objectives(), node.settings.teams());
     this.placer = new Placer(aims, node.estimates, node.random, node.options.sample());
   }
 
@@ -160,25 +159,17 @@
   }
 
   /** A task has ended without being done. */
-  public void failed(Holding h, Machine m, Job job, int index, Why why) {
+  public void failed(Holding h, Machine m, Placement p, Why why) {
     double now = node.loop.seconds();
+    Job job = p.job;
+    int index = p.index;
     switch (why) {
       case ERROR -> {
-        job.failures++;
-        job.failedOn.add(m.id());
-        m.failures++;
-        m.failedJobs.add(job.spec.id());
-        job.notBefore.put(
-            index,
-            (Double)
-                (now + Math.min(MAX_BACKOFF_S, Math.pow(2, Math.min(10, job.failures / 2.0)))));
-        LOG.info("task {}/{} failed on {}", job.spec.id(), index, m.id());
-        // A job that fails wherever it goes says nothing about a machine.
-        boolean machine = m.failedJobs.size() >= 2 || m.failures >= 3 && job.failedOn.size() <= 2;
-        if (machine && !m.draining) {
-          m.draining = true;
-          LOG.info("machine {} fails what it starts: out of use", m.id());
-        }
+        double ran = p.runningS > 0 ? now - p.runningS : 0;
+        LOG.info(
+            "task {}/{} failed on {} after {} s", job.spec.id(), index, m.id(), Math.round(ran));
+        Blame.failed(m, job, ran, now);
+        job.notBefore.put(index, (Double) job.trial.againS());
       }
       case NO_ROOM, BUSY -> job.notBefore.put(index, (Double) (now + 1.5));
       case UNKNOWN -> job.notBefore.put(index, (Double) (now + 5));
@@ -207,6 +198,24 @@
     return aims.nextDueS(job, now, node.estimates.runS(job.spec));
   }
 
+  /** Whether a job is to run in spare room only. */
+  public boolean spareWork(JobSpec job) {
+    return aims.spareWork(job);
+  }
+
+  /** Stops spare work on a machine that others need, and keeps it away for a while. */
+  public void clear(Holding h, Machine m) {
+    double now = node.loop.seconds();
+    if (now < m.clearedUntilS) {
+      return;
+    }
+    double grace = 0;
+    for (Placement p : List.copyOf(m.tasks().values())) {
+      grace = Math.max(grace, Preemption.stop(h, p, now));
+    }
+    m.clearedUntilS = now + grace + Preemption.RESERVED_S;
+  }
+
   /** How many times the cheapest ordinary price a waiting task is worth. */
   public double worth(Job job, double now) {
     return aims.worth(job, now, node.estimates.runS(job.spec));
@@ -240,7 +249,7 @@
     Map<String, Amounts> left = new HashMap<>();
     for (Job job : order) {
       placer.seen(job.spec, now);
-      if (!startable(job, uncertain)) {
+      if (!startable(job, uncertain, now)) {
         continue;
       }
       Amounts quota = left.computeIfAbsent(job.spec.team(), t -> quota(h, t, now));
@@ -265,7 +274,7 @@
     List<Machine> open = List.of(m);
     Map<String, Amounts> left = new HashMap<>();
     for (Job job : order(h)) {
-      if (!startable(job, uncertain) || !placer.fits(job, m, Placer.perZone(job), now)) {
+      if (!startable(job, uncertain, now) || !placer.fits(job, m, Placer.perZone(job), now)) {
         continue;
       }
       Amounts quota = left.computeIfAbsent(job.spec.team(), t -> quota(h, t, now));
@@ -284,8 +293,8 @@
     }
   }
 
-  private static boolean startable(Job job, boolean uncertain) {
-    return job.phase == Job.Phase.OPEN && job.unplaced() > 0 && !(job.recovered && uncertain);
+  private static boolean startable(Job job, boolean uncertain, double now) {
+    return job.phase == Job.Phase.OPEN && job.mayStart(now) > 0 && !(job.recovered && uncertain);
   }
 
   /** What is left of the entity's slice of a team's limit. */
@@ -298,7 +307,7 @@
     Amounts task = job.spec.task();
     Map<String, Integer> perZone = Placer.perZone(job);
     boolean zones = job.spec.oneZone() || job.spec.spread();
-    int allowed = quota.count(task);
+    int allowed = Math.min(quota.count(task), job.mayStart(now));
     int placed = 0;
     List<Machine> fitting = null;
     Machine m = null;
@@ -315,7 +324,7 @@
         fitting.remove(m);
         m = placer.best(job, fitting);
         if (m == null) {
-          preemption.makeRoom(h, job, now);
+          makeRoom(h, job, now);
           return task.times(placed);
         }
       }
@@ -328,6 +337,13 @@
     return task.times(placed);
   }
 
+  /** Nothing that runs well is stopped for a job that fails wherever it goes. */
+  private void makeRoom(Holding h, Job job, double now) {
+    if (!job.trial.suspect()) {
+      preemption.makeRoom(h, job, now);
+    }
+  }
+
   /** All of a gang's tasks get their places at once, or none does. */
   private Amounts placeGang(
       Holding h, Job job, Collection<Machine> open, Amounts quota, double now) {
@@ -342,7 +358,7 @@
     }
     List<Machine> plan = placer.gang(job, open, now);
     if (plan == null) {
-      preemption.makeRoom(h, job, now);
+      makeRoom(h, job, now);
       return Amounts.NONE;
     }
     long attempt = h.newAttempt();
--- a/src/main/java/io/violetrail/scheduling/Job.java
+++ b/src/main/java/io/violetrail/scheduling/Job.java
@@ -3,11 +3,11 @@
 import io.violetrail.model.JobSpec;
 import io.violetrail.model.JobView;
 import io.violetrail.model.JobView.Status;
+import io.violetrail.model.Shape;
+import io.violetrail.wire.BeatWire.State;
 import java.util.ArrayDeque;
 import java.util.BitSet;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 import org.agrona.collections.Int2ObjectHashMap;
@@ -33,6 +33,9 @@
   /** Loaded from the state service: tasks of it may be on machines that have not reported yet. */
   public final boolean recovered;
 
+  /** Run in room and on machines that nobody else needs; see {@link Aims#spareWork}. */
+  public final boolean spareWork;
+
   private final BitSet done = new BitSet();
   private int doneCount;
 
@@ -47,8 +50,8 @@
   /** When each failed task may be tried again. */
   public final Int2ObjectHashMap<Double> notBefore = new Int2ObjectHashMap<>();
 
-  public final Set<Object> failedOn = new HashSet<>();
-  public int failures;
+  /** What its failures say. */
+  public final Trial trial = new Trial();
 
   /** What a waiting task is worth, as of a moment: asked for each machine, the same for all. */
   double worth;
@@ -65,6 +68,11 @@
   private boolean writing;
 
   public Job(JobSpec spec, long arrivedMs, double arrivedS, boolean recovered) {
+    this(spec, arrivedMs, arrivedS, recovered, false);
+  }
+
+  public Job(JobSpec spec, long arrivedMs, double arrivedS, boolean recovered, boolean spareWork) {
+    this.spareWork = spareWork;
     this.spec = spec;
     this.arrivedMs = arrivedMs;
     this.arrivedS = arrivedS;
@@ -79,6 +87,29 @@
     return spec.tasks() - taken.cardinality();
   }
 
+  /**
+   * How many of its tasks may be started now. A suspect job gets one probe (a gang is one), and
+   * nothing during its pauses.
+   */
+  public int mayStart(double now) {
+    int waiting = unplaced();
+    if (!trial.suspect() || waiting == 0) {
+      return waiting;
+    }
+    if (trial.paused(now)) {
+      return 0;
+    }
+    if (spec.shape() == Shape.GANG) {
+      return waiting;
+    }
+    for (Placement p : placed.values()) {
+      if (p.state == State.RUNNING && p.runningS > 0 && trial.runsWell(now - p.runningS)) {
+        return waiting;
+      }
+    }
+    return placed.isEmpty() ? 1 : 0;
+  }
+
   public boolean isDone(int index) {
     return done.get(index);
   }
--- a/src/main/java/io/violetrail/scheduling/Placer.java
+++ b/src/main/java/io/violetrail/scheduling/Placer.java
@@ -84,6 +84,7 @@
     looked++;
     return job.spec.task().fitsIn(m.room())
         && (m.reservedFor == null || m.reservedFor == job || now > m.reservedUntilS)
+        && !(job.spareWork && now < m.clearedUntilS)
         && allowed(job, m, perZone)
         && leavesAccelerators(job, m, now)
         && affordable(job, m, now);
@@ -199,8 +200,7 @@
     if (!s.allows(m.row.type(), m.row.zone(), m.row.spot())) {
       return false;
     }
-    // A machine on which the job failed gets it again only once it has failed in several places.
-    if (job.failedOn.size() < 3 && job.failedOn.contains(m.id())) {
+    if (job.trial.avoids(m.id())) {
       return false;
     }
     if (s.oneZone()
@@ -236,6 +236,10 @@
     // Late small tasks in the processors left over kept dear machines rented that had no other use.
     boolean leftover =
         job.spec.task().gpus() == 0 && m.type.size().gpus() > 0 && acceleratorsWanted(now);
+    if (!leftover && job.spareWork) {
+      // It may use what is there; it does not keep an ordinary machine from being returned.
+      return true;
+    }
     if (!leftover && prices.worth(job.spec, m.type, m.row.spot(), sharers, job.worth)) {
       return true;
     }
--- a/src/main/java/io/violetrail/scheduling/Preemption.java
+++ b/src/main/java/io/violetrail/scheduling/Preemption.java
@@ -19,7 +19,7 @@
   /**
    * Room that is being made is kept this long beyond the time to save, in which two reports pass.
    */
-  private static final double RESERVED_S = 6;
+  static final double RESERVED_S = 6;
 
   /** A job for which no room could be made is not tried again sooner: the search is the dearest. */
   private static final double AGAIN_S = 1;
@@ -87,9 +87,7 @@
     int stopped = 0;
     for (Offer o : offers) {
       for (Placement p : o.victims()) {
-        double save = p.job.spec.checkpointS() > 0 ? p.job.spec.saveS() : 0;
-        grace = Math.max(grace, save);
-        stop(h, p, save, now);
+        grace = Math.max(grace, stop(h, p, now));
         stopped++;
       }
     }
@@ -101,7 +99,9 @@
         "job {}: {} less urgent tasks stop on {} machines", job.spec.id(), stopped, offers.size());
   }
 
-  private static void stop(Holding h, Placement p, double save, double now) {
+  /** Stops a task, letting it save if it can; returns how long that may take. */
+  static double stop(Holding h, Placement p, double now) {
+    double save = p.job.spec.checkpointS() > 0 ? p.job.spec.saveS() : 0;
     if (p.job.spec.shape() == Shape.GANG) {
       p.job.placements().forEach(q -> q.halt(save));
     } else if (p.revocable()) {
@@ -109,6 +109,7 @@
     } else {
       p.halt(save);
     }
+    return save;
   }
 
   /** What the machine could hold of the job; null if nothing. */
--- a/src/main/java/io/violetrail/scheduling/Waiting.java
+++ b/src/main/java/io/violetrail/scheduling/Waiting.java
@@ -55,8 +55,11 @@
       List<InTime.Due> dues = new ArrayList<>();
       for (Job job : jobs) {
         double run = estimates.runS(job.spec);
+        // What fails wherever it goes comes after all that may be in time.
+        boolean suspect = job.trial.suspect();
+        double due = suspect ? Double.POSITIVE_INFINITY : aims.nextDueS(job, now, run);
         double work = job.unplaced() * run * amount(job.spec.task(), accelerated(job)) / room;
-        dues.add(new InTime.Due(job, aims.nextDueS(job, now, run), work, run));
+        dues.add(new InTime.Due(job, due, work, run));
       }
       InTime.order(dues, now).forEach(d -> order.add(d.job()));
     }
--- a/src/main/java/io/violetrail/state/StateStore.java
+++ b/src/main/java/io/violetrail/state/StateStore.java
@@ -36,6 +36,11 @@
   /** A submission behind more seconds' worth of writes than this is turned away at once. */
   private static final double BACKLOG_S = 1.5;
 
+  /**
+   * The part of the requests that questions about jobs may take: renewals and moves need the rest.
+   */
+  private static final double ASKED = 0.4;
+
   private static final int PAGE = 500;
 
   private final Loop loop;
@@ -43,6 +48,7 @@
   private final Settings settings;
   private final Budget requests;
   private final Budget writes;
+  private final Budget asked;
   private final GroupCommit group;
   private int sharers;
 
@@ -53,6 +59,7 @@
     double now = loop.seconds();
     this.requests = new Budget(1, 1, now);
     this.writes = new Budget(1, 1, now);
+    this.asked = new Budget(1, 1, now);
     sharers(settings.peers().size() + 1);
     this.group =
         new GroupCommit(loop, requests, writes, settings.stateLimits().txnOps(), this::send);
@@ -67,6 +74,7 @@
     double share = USED / Math.max(1, controllers);
     requests.resize(settings.stateLimits().rps() * share, loop.seconds());
     writes.resize(settings.stateLimits().writeRps() * share, loop.seconds());
+    asked.resize(settings.stateLimits().rps() * share * ASKED, loop.seconds());
   }
 
   /** The service said no, or said nothing. */
@@ -115,6 +123,14 @@
             });
   }
 
+  /**
+   * A read on behalf of whoever asks, known to us or not, within a bounded part of the budget: many
+   * questions about jobs that nobody submitted must not use up what renewals and moves need.
+   */
+  public CompletableFuture<Entry> getForUser(String key) {
+    return asked.take(1, loop.seconds()) ? get(key) : busy();
+  }
+
   public CompletableFuture<Listing> list(String prefix) {
     CompletableFuture<Listing> done = new CompletableFuture<>();
     page(prefix, "", new ArrayList<>(), done);
--- a/src/main/java/io/violetrail/worker/Beats.java
+++ b/src/main/java/io/violetrail/worker/Beats.java
@@ -1,6 +1,9 @@
 package io.violetrail.worker;
 
+import com.google.common.cache.Cache;
+import com.google.common.cache.CacheBuilder;
 import io.violetrail.api.Jobs;
+import io.violetrail.config.Settings.HostPort;
 import io.violetrail.fleet.Machine;
 import io.violetrail.model.Amounts;
 import io.violetrail.model.ControllerId;
@@ -12,6 +15,7 @@
 import io.violetrail.node.Node;
 import io.violetrail.ownership.Holding;
 import io.violetrail.ownership.Rows.MachineRow;
+import io.violetrail.scheduling.Blame;
 import io.violetrail.scheduling.Job;
 import io.violetrail.scheduling.Placement;
 import io.violetrail.wire.BeatWire;
@@ -50,15 +54,28 @@
 
   private static final int MAX_SENT_AWAY = 2_000;
 
+  /** A rental's answer and its record take this long when the services are slow. */
+  private static final double RECORDED_S = 2.5;
+
+  /** Before that, workers without a record are those that were there before the controllers. */
+  private static final double SETTLED_S = 10;
+
   private final Node node;
   private final Jobs jobs;
 
   /** When each worker was last told to report to its owner. */
   private final Map<MachineId, Double> sentAwayS = new HashMap<>();
 
+  /** When each worker without a record was first heard. */
+  private final Cache<MachineId, Double> firstSeenS =
+      CacheBuilder.newBuilder().maximumSize(MAX_SENT_AWAY).build();
+
+  private final double startedS;
+
   public Beats(Node node, Jobs jobs) {
     this.node = node;
     this.jobs = jobs;
+    this.startedS = node.loop.seconds();
   }
 
   public void handle(byte[] body, Consumer<Answer> done) {
@@ -69,6 +86,7 @@
       done.accept(Answer.error(400, e.getMessage()));
       return;
     }
+    node.hearing.heard(beat);
     MachineRow row = node.directory.machine(beat.machine());
     if (row == null) {
       adopt(beat, done);
@@ -131,6 +149,10 @@
       done.accept(Answer.of(421, BeatWire.elsewhere(null)));
       return;
     }
+    if (justBooted(beat)) {
+      done.accept(Answer.of(200, BeatWire.stay()));
+      return;
+    }
     // Strictly above what its worker has seen: a report held back for minutes then shows its age.
     Version seen = beat.token().compareTo(own.row.version()) > 0 ? beat.token() : own.row.version();
     Version term = seen.nextFor(own.row.version().owner());
@@ -157,6 +179,24 @@
             });
   }
 
+  /**
+   * Whether the worker may be of a rental request whose answer or record is still under way: some
+   * are up within a second or two. Adopted at once by whoever heard it first, it was missing where
+   * it had been rented, and another was rented in its place.
+   */
+  private boolean justBooted(Beat beat) {
+    double now = node.loop.seconds();
+    if (beat.session() > 1 || !beat.pieces().isEmpty() || now - startedS < SETTLED_S) {
+      return false;
+    }
+    Double first = firstSeenS.getIfPresent(beat.machine());
+    if (first == null) {
+      firstSeenS.put(beat.machine(), (Double) now);
+      return true;
+    }
+    return now - first < RECORDED_S;
+  }
+
   private void handleAgain(Holding holding, MachineRow row, Beat beat, Consumer<Answer> done) {
     Machine machine =
         holding.active() && node.membership.valid() ? node.machine(holding, row) : null;
@@ -175,6 +215,7 @@
     double now = node.loop.seconds();
     m.heardS = now;
     m.answeredS = now;
+    m.endpoint = HostPort.parse(beat.endpoint());
     if (!beat.newerThan(m.session, m.seq)) {
       return Answer.of(200, BeatWire.reply(token, List.of()));
     }
@@ -296,10 +337,8 @@
     boolean done = piece.why() == Why.DONE && job.spec.shape() != Shape.SERVICE;
     if (done && !job.isDone(index)) {
       job.markDone(index);
-      m.failures = 0;
-      m.failedJobs.clear();
+      Blame.endedWell(m, job);
       m.images.add(job.spec.image());
-      job.failures = 0;
     }
     if (current) {
       if (piece.why() == Why.DONE && p.runningS > 0 && p.haltGraceS < 0) {
@@ -307,7 +346,7 @@
       }
       holding.unplace(p, now);
       if (piece.why() != Why.DONE) {
-        node.dispatcher.failed(holding, m, job, index, piece.why());
+        node.dispatcher.failed(holding, m, p, piece.why());
       }
     }
     if (job.isDone(index)) {
