--- a/src/main/java/io/violetrail/fleet/Fleet.java
+++ b/src/main/java/io/violetrail/fleet/Fleet.java
@@ -288,7 +288,10 @@
         plan.demand(job, job.unplaced(), false);
       }
     }
-    plan.wanted().forEach((offer, count) -> hires.hire(h, offer, count));
+    // Calls are few: the one that brings the most machines goes first.
+    plan.wanted().entrySet().stream()
+        .sorted(Map.Entry.<Offer, Integer>comparingByValue().reversed())
+        .forEach(e -> hires.hire(h, e.getKey(), e.getValue()));
   }
 
   /**
--- a/src/main/java/io/violetrail/ownership/Directory.java
+++ b/src/main/java/io/violetrail/ownership/Directory.java
@@ -1,6 +1,8 @@
 package io.violetrail.ownership;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.cache.Cache;
+import com.google.common.cache.CacheBuilder;
 import io.violetrail.config.Settings;
 import io.violetrail.model.ControllerId;
 import io.violetrail.model.MachineId;
@@ -35,6 +37,12 @@
   /** When each key was last dropped, so that an older change cannot bring it back. */
   private final Map<String, Long> dropped = new HashMap<>();
 
+  /**
+   * Machines whose record was removed, which comes after the cloud has taken them back for sure.
+   */
+  private final Cache<MachineId, Boolean> removed =
+      CacheBuilder.newBuilder().maximumSize(5_000).build();
+
   private JsonNode types;
   private long intake;
   private long revision;
@@ -108,7 +116,11 @@
       byEntity.get(before.entity()).remove(id);
     }
     put(machines, id, row);
+    if (row == null && before != null) {
+      removed.put(id, true);
+    }
     if (row != null) {
+      removed.invalidate(id);
       byEntity.computeIfAbsent(row.entity(), e -> new HashMap<>()).put(id, row);
     }
   }
@@ -207,6 +219,14 @@
     return machines.get(id);
   }
 
+  /**
+   * Whether the machine is known to be no more. Its reports that come later were held back in the
+   * network: machines that were gone were taken into an entity for them, and fell silent again.
+   */
+  public boolean wasReturned(MachineId id) {
+    return removed.getIfPresent(id) != null;
+  }
+
   public List<MachineRow> machinesOf(ControllerId entity) {
     return List.copyOf(byEntity.getOrDefault(entity, Map.of()).values());
   }
--- a/src/main/java/io/violetrail/worker/Beats.java
+++ b/src/main/java/io/violetrail/worker/Beats.java
@@ -145,6 +145,7 @@
     if (own == null
         || !own.active()
         || !node.membership.valid()
+        || node.directory.wasReturned(beat.machine())
         || node.type(beat.type()) == null) {
       done.accept(Answer.of(421, BeatWire.elsewhere(null)));
       return;
--- a/src/test/java/io/violetrail/stories/NightTest.java
+++ b/src/test/java/io/violetrail/stories/NightTest.java
@@ -11,6 +11,7 @@
 import io.violetrail.fakes.User;
 import io.violetrail.fakes.World;
 import io.violetrail.model.Amounts;
+import io.violetrail.model.MachineId;
 import io.violetrail.model.MachineType;
 import io.violetrail.wire.Cbor;
 import java.util.ArrayList;
@@ -322,4 +323,22 @@
     world.until(60, () -> user.poll("c0", "job-1").equals("done"));
     world.until(40, () -> world.cloud.workers.isEmpty());
   }
+
+  @Test
+  void aLateReportOfAReturnedMachineAdoptsNothing() {
+    // Recorded: twenty machines that were no more were taken into an entity, and fell silent again.
+    world.up();
+    user.submit("c0", User.job("job-1", 1));
+    world.until(20, () -> launches() == 1);
+    world.run(1);
+    FakeWorker w = world.cloud.running("job-1/0").get(0);
+    world.hold(m -> m.startsWith(w.id + " "));
+    world.until(60, () -> !world.cloud.workers.containsKey(w.id));
+    world.run(1);
+    world.release();
+    world.run(2);
+    for (int i = 0; i < 3; i++) {
+      assertTrue(world.nodes.get("c" + i).directory.machine(new MachineId(w.id)) == null);
+    }
+  }
 }
