--- a/src/main/java/io/violetrail/fleet/Fleet.java
+++ b/src/main/java/io/violetrail/fleet/Fleet.java
@@ -249,7 +249,7 @@
           plan.coming(offer(m), m.type.size());
         }
       } else if (m.open()) {
-        plan.there(offer(m), roomSoon(m, now));
+        plan.there(offer(m), roomSoon(m, now), later(m, now));
       }
     }
     Map<Offer, Integer> pending = hires.pending(h);
@@ -360,15 +360,36 @@
   private Amounts roomSoon(Machine m, double now) {
     Amounts room = m.room();
     for (Placement p : m.tasks().values()) {
-      double began =
-          p.runningS > 0 ? p.runningS : now + p.job.spec.imageGb() / m.type.fetchGbPerS();
-      if (began + node.estimates.runS(p.job.spec) < now + m.type.bootS()) {
+      if (endsInS(p, now) < m.type.bootS()) {
         room = room.plus(p.job.spec.task());
       }
     }
     return room;
   }
 
+  /**
+   * What may start there after those, one task after the other like what runs there now, before
+   * another machine would be up. Dear machines were rented for short tasks, and had nothing to do
+   * when they came up.
+   */
+  private Amounts later(Machine m, double now) {
+    Amounts room = Amounts.NONE;
+    for (Placement p : m.tasks().values()) {
+      double left = m.type.bootS() - endsInS(p, now);
+      int turns = (int) (left / node.estimates.runS(p.job.spec));
+      if (left > 0 && turns > 0 && p.job.spec.shape() == Shape.ARRAY) {
+        room = room.plus(p.job.spec.task().times((int) Math.min(MAX_TURNS, turns)));
+      }
+    }
+    return room;
+  }
+
+  private double endsInS(Placement p, double now) {
+    double began =
+        p.runningS > 0 ? p.runningS : now + p.job.spec.imageGb() / p.machine.type.fetchGbPerS();
+    return Math.max(0, began + node.estimates.runS(p.job.spec) - now);
+  }
+
   /** How many of a job's waiting tasks are worth machines of their own, the rest taking turns. */
   private int wanted(Job job, double now) {
     int waiting = job.mayStart(now);
--- a/src/main/java/io/violetrail/fleet/Prices.java
+++ b/src/main/java/io/violetrail/fleet/Prices.java
@@ -1,8 +1,10 @@
 package io.violetrail.fleet;
 
+import io.violetrail.model.Amounts;
 import io.violetrail.model.JobSpec;
 import io.violetrail.model.MachineType;
 import java.util.Collection;
+import java.util.List;
 
 /** What a task costs on a machine, compared with what it costs where it is cheapest. */
 public final class Prices {
@@ -13,20 +15,25 @@
   }
 
   /** The hourly price of a type for each of {@code sharers} tasks, or of as many as fit. */
-  private static double perTask(JobSpec job, MachineType type, boolean spot, int sharers) {
-    return type.price(spot) / Math.max(1, Math.min(type.size().count(job.task()), sharers));
+  private static double perTask(Amounts task, MachineType type, boolean spot, int sharers) {
+    return type.price(spot) / Math.max(1, Math.min(type.size().count(task), sharers));
   }
 
   /** That price as a multiple of the cheapest ordinary one. */
   public double ratio(JobSpec job, MachineType type, boolean spot, int sharers) {
+    return ratio(job.task(), job.types(), type, spot, sharers);
+  }
+
+  /** The same for a task that may use the types named, or any if that is null. */
+  public double ratio(
+      Amounts task, List<String> allowed, MachineType type, boolean spot, int sharers) {
     double cheapest = Double.POSITIVE_INFINITY;
     for (MachineType t : types) {
-      if (t.size().count(job.task()) > 0
-          && (job.types() == null || job.types().contains(t.name()))) {
-        cheapest = Math.min(cheapest, perTask(job, t, false, sharers));
+      if (t.size().count(task) > 0 && (allowed == null || allowed.contains(t.name()))) {
+        cheapest = Math.min(cheapest, perTask(task, t, false, sharers));
       }
     }
-    return perTask(job, type, spot, sharers) / cheapest;
+    return perTask(task, type, spot, sharers) / cheapest;
   }
 
   /**
--- a/src/main/java/io/violetrail/fleet/RentPlan.java
+++ b/src/main/java/io/violetrail/fleet/RentPlan.java
@@ -40,9 +40,13 @@
     final boolean coming;
     Amounts room;
 
-    Bin(Offer offer, Amounts room, boolean coming) {
+    /** Further turns, for tasks that need not run side by side. */
+    Amounts later;
+
+    Bin(Offer offer, Amounts room, Amounts later, boolean coming) {
       this.offer = offer;
       this.room = room;
+      this.later = later;
       this.coming = coming;
     }
   }
@@ -71,13 +75,16 @@
 
   /** A machine that boots or was asked for. */
   void coming(Offer offer, Amounts size) {
-    bins.add(new Bin(offer, size, true));
+    bins.add(new Bin(offer, size, Amounts.NONE, true));
     mayRent--;
   }
 
-  /** What a machine that is up has free, or will have by the time that another one boots. */
-  void there(Offer offer, Amounts roomSoon) {
-    bins.add(new Bin(offer, roomSoon, false));
+  /**
+   * What a machine that is up has free, or will have by the time that another one boots, and what
+   * may start there one after the other until then.
+   */
+  void there(Offer offer, Amounts roomSoon, Amounts later) {
+    bins.add(new Bin(offer, roomSoon, later, false));
   }
 
   Map<Offer, Integer> wanted() {
@@ -139,7 +146,7 @@
 
   private int rent(Job job, Offer offer, int tasks) {
     MachineType type = type(offer);
-    Bin bin = new Bin(offer, type.size(), true);
+    Bin bin = new Bin(offer, type.size(), Amounts.NONE, true);
     bins.add(bin);
     wanted.merge(offer, 1, Integer::sum);
     mayRent--;
@@ -149,6 +156,11 @@
   private static int take(Job job, Bin bin, int tasks) {
     int n = Math.min(tasks, bin.room.count(job.spec.task()));
     bin.room = bin.room.minus(job.spec.task().times(n));
+    if (n < tasks && job.spec.shape() == Shape.ARRAY) {
+      int more = Math.min(tasks - n, bin.later.count(job.spec.task()));
+      bin.later = bin.later.minus(job.spec.task().times(more));
+      n += more;
+    }
     return n;
   }
 
--- a/src/main/java/io/violetrail/fleet/Sharing.java
+++ b/src/main/java/io/violetrail/fleet/Sharing.java
@@ -112,7 +112,7 @@
    */
   private Need machines(Holding h, Job job, int tasks) {
     if (!job.spec.oneZone() || job.spec.zone() != null) {
-      return Need.machines(job.spec, tasks, job.arrivedMs);
+      return Need.machines(job.spec, tasks, job.arrivedMs, worth(job));
     }
     Map<String, Integer> rooms = new HashMap<>();
     for (MachineType t : node.types().values()) {
@@ -136,7 +136,11 @@
       }
     }
     int missing = Math.max(1, tasks - rooms.getOrDefault(best, 0));
-    return Need.machines(job.spec, missing, job.arrivedMs).in(best);
+    return Need.machines(job.spec, missing, job.arrivedMs, worth(job)).in(best);
+  }
+
+  private double worth(Job job) {
+    return node.dispatcher.worth(job, node.loop.seconds());
   }
 
   /** Another entity, a peer's or one held here too, lacks something: what is idle goes there. */
@@ -183,8 +187,11 @@
     }
   }
 
-  private static boolean passable(Machine m, Need need) {
+  private boolean passable(Machine m, Need need) {
+    // Too dear for the need, a machine only passed to and fro, idle and paid for.
     return m.open()
+        && node.prices().ratio(need.task(), need.typeList(), m.type, m.row.spot(), need.tasks())
+            <= need.worth()
         && need.allows(m.row.type(), m.row.zone(), m.row.spot())
         && suits(m, need.gpus());
   }
