--- a/src/main/java/io/violetrail/net/Http.java
+++ b/src/main/java/io/violetrail/net/Http.java
@@ -12,6 +12,12 @@
   CompletableFuture<Reply> call(
       HostPort to, String method, String path, byte[] body, double timeoutS);
 
+  /** The same to a place that is rarely called: no connection to it is kept. */
+  default CompletableFuture<Reply> callOnce(
+      HostPort to, String method, String path, byte[] body, double timeoutS) {
+    return call(to, method, path, body, timeoutS);
+  }
+
   /** An answer. */
   record Reply(int status, byte[] body) {
     public boolean ok() {
--- a/src/main/java/io/violetrail/net/UndertowHttp.java
+++ b/src/main/java/io/violetrail/net/UndertowHttp.java
@@ -45,7 +45,17 @@
   @Override
   public CompletableFuture<Reply> call(
       HostPort to, String method, String path, byte[] body, double timeoutS) {
-    Pool pool = pools.computeIfAbsent(to, Pool::new);
+    return start(pools.computeIfAbsent(to, p -> new Pool(p, true)), method, path, body, timeoutS);
+  }
+
+  @Override
+  public CompletableFuture<Reply> callOnce(
+      HostPort to, String method, String path, byte[] body, double timeoutS) {
+    return start(new Pool(to, false), method, path, body, timeoutS);
+  }
+
+  private CompletableFuture<Reply> start(
+      Pool pool, String method, String path, byte[] body, double timeoutS) {
     Call call = new Call(pool, method, path, body);
     call.timer = loop.after(timeoutS, () -> call.fail(new IOException("no answer in time")));
     pool.start(call);
@@ -57,10 +67,12 @@
     private final URI uri;
     private final ArrayDeque<ClientConnection> idle = new ArrayDeque<>();
     private final ArrayDeque<Call> waiting = new ArrayDeque<>();
+    private final boolean keeps;
     private int open;
 
-    Pool(HostPort to) {
+    Pool(HostPort to, boolean keeps) {
       this.to = to;
+      this.keeps = keeps;
       this.uri = URI.create("http://" + to.host() + ":" + to.port());
     }
 
@@ -113,7 +125,7 @@
     }
 
     void released(ClientConnection connection, boolean reusable) {
-      if (reusable && connection.isOpen()) {
+      if (keeps && reusable && connection.isOpen()) {
         idle.addLast(connection);
       } else {
         IoUtils.safeClose(connection);
--- a/src/main/java/io/violetrail/node/Node.java
+++ b/src/main/java/io/violetrail/node/Node.java
@@ -29,6 +29,7 @@
 import io.violetrail.state.StateStore;
 import io.violetrail.wire.Cbor.Malformed;
 import io.violetrail.wire.CloudWire;
+import io.violetrail.worker.Halts;
 import io.violetrail.worker.Hearing;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -58,6 +59,7 @@
   public final Peers peers;
   public final Sharing sharing;
   public final Hearing hearing;
+  public final Halts halts;
   public final Estimates estimates = new Estimates();
 
   private final Map<String, MachineType> types = new HashMap<>();
@@ -76,6 +78,7 @@
     this.directory = new Directory(settings);
     this.membership = new Membership(settings, loop, store, directory, timing, this);
     this.jobs = new Jobs(this);
+    this.halts = new Halts(this, http);
     this.dispatcher = new Dispatcher(this);
     this.peers = new Peers(this, http);
     this.sharing = new Sharing(this);
--- a/src/main/java/io/violetrail/scheduling/Dispatcher.java
+++ b/src/main/java/io/violetrail/scheduling/Dispatcher.java
@@ -35,7 +35,7 @@
   private static final int GANGS_A_REPORT = 2;
 
   private final Node node;
-  private final Preemption preemption = new Preemption();
+  private final Preemption preemption;
   private final Placer placer;
   private final Map<Holding, Waiting> waiting = new HashMap<>();
   private final Aims aims;
@@ -45,6 +45,7 @@
   public Dispatcher(Node node) {
     this.node = node;
     this.aims = new Aims(node.settings.objectives(), node.settings.teams());
+    this.preemption = new Preemption(node.halts::halted);
     this.placer = new Placer(aims, node.estimates, node.random, node.options.sample());
   }
 
@@ -136,6 +137,8 @@
         h.unplace(p, now);
       } else {
         p.halt(0);
+        // The sooner the rest is gone, the sooner it starts anew.
+        node.halts.halted(p);
       }
     }
   }
@@ -212,7 +215,7 @@
     double grace = 0;
     for (Placement p : List.copyOf(m.tasks().values())) {
       if (p.job.spareWork) {
-        grace = Math.max(grace, Preemption.stop(h, p, now));
+        grace = Math.max(grace, preemption.stop(h, p, now));
       }
     }
     m.clearedUntilS = now + grace + Preemption.RESERVED_S;
--- a/src/main/java/io/violetrail/scheduling/Preemption.java
+++ b/src/main/java/io/violetrail/scheduling/Preemption.java
@@ -9,6 +9,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -24,6 +25,15 @@
   /** A job for which no room could be made is not tried again sooner: the search is the dearest. */
   private static final double AGAIN_S = 1;
 
+  private final Consumer<Placement> halted;
+
+  /**
+   * @param halted told of each task that is to stop
+   */
+  Preemption(Consumer<Placement> halted) {
+    this.halted = halted;
+  }
+
   /** A machine that would take some tasks of the job, after stopping some of others. */
   private record Offer(Machine machine, int tasks, List<Placement> victims, double loss) {}
 
@@ -82,7 +92,7 @@
     return held >= tasks ? chosen : List.of();
   }
 
-  private static void take(Holding h, Job job, List<Offer> offers, double now) {
+  private void take(Holding h, Job job, List<Offer> offers, double now) {
     double grace = 0;
     int stopped = 0;
     for (Offer o : offers) {
@@ -100,14 +110,18 @@
   }
 
   /** Stops a task, letting it save if it can; returns how long that may take. */
-  static double stop(Holding h, Placement p, double now) {
+  double stop(Holding h, Placement p, double now) {
     double save = p.job.spec.checkpointS() > 0 ? p.job.spec.saveS() : 0;
     if (p.job.spec.shape() == Shape.GANG) {
-      p.job.placements().forEach(q -> q.halt(save));
+      for (Placement q : p.job.placements()) {
+        q.halt(save);
+        halted.accept(q);
+      }
     } else if (p.revocable()) {
       h.unplace(p, now);
     } else {
       p.halt(save);
+      halted.accept(p);
     }
     return save;
   }
--- a/src/main/java/io/violetrail/worker/Hearing.java
+++ b/src/main/java/io/violetrail/worker/Hearing.java
@@ -162,7 +162,7 @@
     int[] open = {workers.size()};
     int[] ok = {0};
     for (HostPort w : workers) {
-      http.call(w, "GET", "/status", null, PROBE_S)
+      http.callOnce(w, "GET", "/status", null, PROBE_S)
           .whenComplete(
               (r, failure) -> {
                 ok[0] += failure == null && r.ok() ? 1 : 0;
--- a/src/test/java/io/violetrail/fakes/FakeWorker.java
+++ b/src/test/java/io/violetrail/fakes/FakeWorker.java
@@ -59,10 +59,25 @@
     return (method, path, body, done) -> {
       if (up && path.equals("/status")) {
         done.accept(Service.Answer.of(200, Cbor.map()));
+      } else if (up && path.equals("/orders")) {
+        done.accept(Service.Answer.empty(ordered(body) ? 200 : 409));
       }
     };
   }
 
+  private boolean ordered(byte[] body) {
+    try {
+      ObjectNode m = Cbor.parse(body);
+      if (m.get("baton").asLong() < token || m.get("tenure").asLong() != session) {
+        return false;
+      }
+      m.get("orders").forEach(this::execute);
+      return true;
+    } catch (Cbor.Malformed e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
   void boot() {
     up = true;
     answered = world.now();
@@ -195,7 +210,8 @@
         launches++;
       }
       case "halt" -> {
-        if (p != null && !p.status.equals("ended")) {
+        boolean same = p != null && p.attempt == order.get("try").asLong();
+        if (same && !p.status.equals("ended")) {
           p.status = "ended";
           p.cause = "halted";
         }
--- a/src/test/java/io/violetrail/stories/NightTest.java
+++ b/src/test/java/io/violetrail/stories/NightTest.java
@@ -367,4 +367,43 @@
     assertEquals("cancelled", user.abort("c1", "job-7"));
     assertEquals("cancelled", user.poll("c2", "job-7"));
   }
+
+  @Test
+  void roomForAnUrgentJobIsMadeBeforeTheNextReports() {
+    // Up to a report's interval went by before a task heard that it was to make way.
+    world.cloud.capacity = 0;
+    world.cloud.runS = 100;
+    world.up();
+    FakeWorker w = world.cloud.given("plain", "a");
+    world.run(4);
+    user.submit("c0", User.job("job-1", 8));
+    world.until(10, () -> w.active() == 8);
+    world.run(2);
+    world.hold(m -> m.startsWith(w.id + " "));
+    user.submit("c0", User.job("job-2", 1).put("urgency", "high").put("cores", 8.0));
+    world.run(0.5);
+    assertEquals(0, w.active());
+    world.release();
+    world.until(4, () -> w.has("job-2/0"));
+  }
+
+  @Test
+  void aHaltThatComesLateStopsNothingElse() {
+    world.cloud.capacity = 0;
+    world.cloud.runS = 30;
+    world.up();
+    FakeWorker w = world.cloud.given("plain", "a");
+    world.run(4);
+    user.submit("c0", User.job("job-1", 8));
+    world.until(10, () -> w.active() == 8);
+    world.run(2);
+    world.hold(m -> m.contains("/orders"));
+    user.submit("c0", User.job("job-2", 1).put("urgency", "high").put("cores", 8.0));
+    world.until(8, () -> w.has("job-2/0"));
+    world.until(60, () -> w.has("job-1/7"));
+    assertTrue(world.heldBack() > 0);
+    int before = w.active();
+    world.release();
+    assertEquals(before, w.active());
+  }
 }
