--- a/src/main/java/io/violetrail/api/UserApi.java
+++ b/src/main/java/io/violetrail/api/UserApi.java
@@ -14,7 +14,6 @@
 import io.violetrail.wire.Cbor;
 import io.violetrail.wire.Cbor.Malformed;
 import io.violetrail.wire.JobWire;
-import io.violetrail.worker.Beats;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -38,13 +37,11 @@
 
   private final Node node;
   private final Jobs jobs;
-  private final Beats beats;
   private final Metrics metrics;
 
   public UserApi(Node node, Jobs jobs) {
     this.node = node;
     this.jobs = jobs;
-    this.beats = new Beats(node, jobs);
     this.metrics = new Metrics(node);
   }
 
@@ -53,7 +50,7 @@
     boolean post = "POST".equals(method);
     boolean get = "GET".equals(method);
     if (path.equals("/agent/beat")) {
-      allow(post, done, () -> beats.handle(body, metrics.timed("beat", done)));
+      allow(post, done, () -> node.beats.handle(body, metrics.timed("beat", done)));
     } else if (path.equals("/ready")) {
       allow(
           get,
--- a/src/main/java/io/violetrail/fleet/Sharing.java
+++ b/src/main/java/io/violetrail/fleet/Sharing.java
@@ -239,6 +239,7 @@
                     next.term());
                 h.machines.remove(m.id(), m);
                 node.changed();
+                node.beats.answer(m.id());
               } else {
                 node.checkMachine(h, m);
               }
--- a/src/main/java/io/violetrail/node/Node.java
+++ b/src/main/java/io/violetrail/node/Node.java
@@ -29,6 +29,7 @@
 import io.violetrail.state.StateStore;
 import io.violetrail.wire.Cbor.Malformed;
 import io.violetrail.wire.CloudWire;
+import io.violetrail.worker.Beats;
 import io.violetrail.worker.Halts;
 import io.violetrail.worker.Hearing;
 import java.util.HashMap;
@@ -58,6 +59,7 @@
   public final UserApi api;
   public final Peers peers;
   public final Sharing sharing;
+  public final Beats beats;
   public final Hearing hearing;
   public final Halts halts;
   public final Estimates estimates = new Estimates();
@@ -83,6 +85,7 @@
     this.peers = new Peers(this, http);
     this.sharing = new Sharing(this);
     this.fleet = new Fleet(this, new CloudClient(loop, http, settings));
+    this.beats = new Beats(this, jobs);
     this.hearing = new Hearing(this, http);
     this.api = new UserApi(this, jobs);
   }
--- a/src/main/java/io/violetrail/scheduling/Dispatcher.java
+++ b/src/main/java/io/violetrail/scheduling/Dispatcher.java
@@ -3,6 +3,7 @@
 import io.violetrail.fleet.Machine;
 import io.violetrail.model.Amounts;
 import io.violetrail.model.JobSpec;
+import io.violetrail.model.MachineId;
 import io.violetrail.model.Shape;
 import io.violetrail.node.Node;
 import io.violetrail.ownership.Holding;
@@ -10,8 +11,10 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -39,6 +42,10 @@
   private final Placer placer;
   private final Map<Holding, Waiting> waiting = new HashMap<>();
   private final Aims aims;
+
+  /** Machines with new placements whose workers may be waiting. */
+  private final Set<MachineId> given = new LinkedHashSet<>();
+
   private boolean awake;
   private double notBeforeS;
 
@@ -72,6 +79,7 @@
         place(h);
       }
     }
+    tellWaiting();
     double ended = node.loop.seconds();
     notBeforeS = ended + REST * (ended - began);
   }
@@ -296,6 +304,18 @@
       }
       left.put(job.spec.team(), quota.minus(used));
     }
+    tellWaiting();
+  }
+
+  private void placed(Machine m) {
+    given.add(m.id());
+  }
+
+  /** Workers that wait for something to do get it now. */
+  private void tellWaiting() {
+    List<MachineId> all = List.copyOf(given);
+    given.clear();
+    all.forEach(node.beats::answer);
   }
 
   private static boolean startable(Job job, boolean uncertain, double now) {
@@ -334,6 +354,7 @@
         }
       }
       h.place(new Placement(job, i, m, h.newAttempt(), now));
+      placed(m);
       placed++;
       if (zones) {
         perZone.merge(m.row.zone(), 1, Integer::sum);
@@ -391,6 +412,7 @@
     long attempt = h.newAttempt();
     for (int i = 0; i < plan.size(); i++) {
       h.place(new Placement(job, i, plan.get(i), attempt, now));
+      placed(plan.get(i));
     }
     return all;
   }
--- a/src/main/java/io/violetrail/worker/Beats.java
+++ b/src/main/java/io/violetrail/worker/Beats.java
@@ -71,11 +71,13 @@
       CacheBuilder.newBuilder().maximumSize(MAX_SENT_AWAY).build();
 
   private final double startedS;
+  private final Parked parked;
 
   public Beats(Node node, Jobs jobs) {
     this.node = node;
     this.jobs = jobs;
     this.startedS = node.loop.seconds();
+    this.parked = new Parked(node.loop, node.settings.workers().reportS());
   }
 
   public void handle(byte[] body, Consumer<Answer> done) {
@@ -87,6 +89,11 @@
       return;
     }
     node.hearing.heard(beat);
+    Parked.Report before = parked.take(beat.machine());
+    if (before != null) {
+      // Its worker has given that one up.
+      before.done().accept(Answer.later("a newer report is here"));
+    }
     MachineRow row = node.directory.machine(beat.machine());
     if (row == null) {
       adopt(beat, done);
@@ -94,18 +101,7 @@
     }
     Holding holding = node.membership.holding(row.entity());
     if (holding == null || holding.phase == Holding.Phase.RELEASING) {
-      ControllerId owner = node.directory.ownerOf(row.entity());
-      boolean elsewhere =
-          owner != null && !owner.equals(node.settings.self()) && node.directory.isAlive(owner);
-      // While the entity has no owner, its workers stay here, where the next one is soon known.
-      // Sent away, each came back only after all dead controllers, and a second failure soon after
-      // the first then ended the leases of a whole fleet.
-      boolean orphan =
-          holding == null && node.membership.valid() && (!elsewhere || backSoon(beat.machine()));
-      done.accept(
-          orphan
-              ? Answer.of(200, BeatWire.stay())
-              : Answer.of(421, BeatWire.elsewhere(elsewhere ? owner.value() : null)));
+      done.accept(elsewhere(row, holding));
       return;
     }
     if (!node.membership.mayKeepAlive()) {
@@ -119,7 +115,67 @@
       done.accept(Answer.of(200, BeatWire.reply(token, List.of())));
       return;
     }
-    done.accept(report(holding, machine, beat));
+    Answer now = report(holding, machine, beat);
+    if (mayWait(holding, machine, beat)) {
+      parked.park(machine, beat, done, () -> answer(machine.id()));
+    } else {
+      done.accept(now);
+    }
+  }
+
+  /** Whether the worker has nothing, and nothing to learn: the answer can wait for something. */
+  private boolean mayWait(Holding holding, Machine m, Beat beat) {
+    return holding.active()
+        && node.membership.valid()
+        && m.empty()
+        && m.open()
+        && beat.pieces().isEmpty()
+        && m.session == beat.session()
+        && m.seq == beat.seq()
+        && beat.token().equals(holding.token(m));
+  }
+
+  /** Answers a report that was kept open, if there is one, with what there is to do by now. */
+  public void answer(MachineId id) {
+    Parked.Report r = parked.take(id);
+    if (r == null) {
+      return;
+    }
+    MachineRow row = node.directory.machine(id);
+    Holding holding = row == null ? null : node.membership.holding(row.entity());
+    Machine m = r.machine();
+    if (row != null && (holding == null || holding.phase == Holding.Phase.RELEASING)) {
+      r.done().accept(elsewhere(row, holding));
+    } else if (holding == null
+        || holding.machines.get(id) != m
+        || !node.membership.mayKeepAlive()) {
+      r.done().accept(Answer.later("the machine has passed on"));
+    } else {
+      // The worker counts its lease from the report's sending; this is later, so on the safe side.
+      double now = node.loop.seconds();
+      m.answeredS = now;
+      List<Order> orders = new ArrayList<>();
+      boolean newest = m.session == r.beat().session() && m.seq == r.beat().seq();
+      if (newest && node.membership.valid() && holding.active()) {
+        command(m, now, orders);
+      }
+      r.done().accept(Answer.of(200, BeatWire.reply(holding.token(m), orders)));
+    }
+  }
+
+  /** Sends a worker to its machine's owner, or lets it stay until there is one. */
+  private Answer elsewhere(MachineRow row, Holding holding) {
+    ControllerId owner = node.directory.ownerOf(row.entity());
+    boolean elsewhere =
+        owner != null && !owner.equals(node.settings.self()) && node.directory.isAlive(owner);
+    // While the entity has no owner, its workers stay here, where the next one is soon known.
+    // Sent away, each came back only after all dead controllers, and a second failure soon after
+    // the first then ended the leases of a whole fleet.
+    boolean orphan =
+        holding == null && node.membership.valid() && (!elsewhere || backSoon(row.id()));
+    return orphan
+        ? Answer.of(200, BeatWire.stay())
+        : Answer.of(421, BeatWire.elsewhere(elsewhere ? owner.value() : null));
   }
 
   /**
--- a/src/test/java/io/violetrail/fakes/FakeWorker.java
+++ b/src/test/java/io/violetrail/fakes/FakeWorker.java
@@ -96,6 +96,11 @@
     return p != null && !p.status.equals("ended");
   }
 
+  /** How often its lease has ended. */
+  public long sessionsLost() {
+    return session - 1;
+  }
+
   public String node() {
     return node;
   }
--- a/src/test/java/io/violetrail/stories/NightTest.java
+++ b/src/test/java/io/violetrail/stories/NightTest.java
@@ -406,4 +406,29 @@
     world.release();
     assertEquals(before, w.active());
   }
+
+  @Test
+  void anIdleWorkerIsGivenWorkAtOnce() {
+    // A gang waited for the slowest of its machines' next reports.
+    world.cloud.capacity = 0;
+    world.up();
+    for (int i = 0; i < 3; i++) {
+      world.cloud.given("plain", "a");
+    }
+    world.run(8);
+    user.submit("c0", User.job("job-1", 3).put("shape", "ensemble").put("cores", 8.0));
+    user.submit("c1", User.job("job-2", 3).put("shape", "ensemble").put("cores", 8.0));
+    user.submit("c2", User.job("job-3", 3).put("shape", "ensemble").put("cores", 8.0));
+    world.run(2.2);
+    assertEquals(3, launches(), "one of them has its three machines together");
+  }
+
+  @Test
+  void aReportThatIsKeptOpenIsAnsweredInTime() {
+    world.cloud.capacity = 0;
+    world.up();
+    FakeWorker w = world.cloud.given("plain", "a");
+    world.run(60);
+    assertEquals(0, w.sessionsLost(), "its lease never ended");
+  }
 }
