--- a/src/main/java/io/violetrail/worker/Beats.java
+++ b/src/main/java/io/violetrail/worker/Beats.java
@@ -115,24 +115,36 @@
       done.accept(Answer.of(200, BeatWire.reply(token, List.of())));
       return;
     }
-    Answer now = report(holding, machine, beat);
-    if (mayWait(holding, machine, beat)) {
-      parked.park(machine, beat, done, () -> answer(machine.id()));
+    List<Order> orders = new ArrayList<>();
+    Answer now = report(holding, machine, beat, orders);
+    if (mayWait(holding, machine, beat, orders)) {
+      parked.park(machine, beat, orders, done, () -> answer(machine.id()));
     } else {
       done.accept(now);
     }
   }
 
-  /** Whether the worker has nothing, and nothing to learn: the answer can wait for something. */
-  private boolean mayWait(Holding holding, Machine m, Beat beat) {
+  /**
+   * Whether the worker has nothing to run and nothing to learn but what it may forget, or room was
+   * made there for a job that waits for other machines: then the answer waits for what is to start.
+   */
+  private boolean mayWait(Holding holding, Machine m, Beat beat, List<Order> orders) {
     return holding.active()
         && node.membership.valid()
-        && m.empty()
         && m.open()
-        && beat.pieces().isEmpty()
+        && (m.empty() || roomWasMade(m))
         && m.session == beat.session()
         && m.seq == beat.seq()
-        && beat.token().equals(holding.token(m));
+        && beat.token().equals(holding.token(m))
+        && orders.size() < MAX_ORDERS
+        && orders.stream().allMatch(o -> o.verb() == Verb.FORGET);
+  }
+
+  private boolean roomWasMade(Machine m) {
+    return m.reservedFor != null
+        && node.loop.seconds() <= m.reservedUntilS
+        && m.reservedFor.unplaced() > 0
+        && m.room().count(m.reservedFor.spec.task()) > 0;
   }
 
   /** Answers a report that was kept open, if there is one, with what there is to do by now. */
@@ -154,7 +166,7 @@
       // The worker counts its lease from the report's sending; this is later, so on the safe side.
       double now = node.loop.seconds();
       m.answeredS = now;
-      List<Order> orders = new ArrayList<>();
+      List<Order> orders = new ArrayList<>(r.first());
       boolean newest = m.session == r.beat().session() && m.seq == r.beat().seq();
       if (newest && node.membership.valid() && holding.active()) {
         command(m, now, orders);
@@ -260,10 +272,10 @@
     done.accept(
         machine == null
             ? Answer.of(421, BeatWire.elsewhere(null))
-            : report(holding, machine, beat));
+            : report(holding, machine, beat, new ArrayList<>()));
   }
 
-  private Answer report(Holding holding, Machine m, Beat beat) {
+  private Answer report(Holding holding, Machine m, Beat beat, List<Order> orders) {
     Version token = holding.token(m);
     if (beat.token().compareTo(token) > 0) {
       node.raiseTerm(holding, m, beat.token());
@@ -295,7 +307,6 @@
       }
       return Answer.of(200, BeatWire.reply(token, first));
     }
-    List<Order> orders = new ArrayList<>();
     int before = m.tasks().size();
     boolean wasOpen = m.open();
     take(holding, m, beat, now, orders);
--- a/src/main/java/io/violetrail/worker/Parked.java
+++ b/src/main/java/io/violetrail/worker/Parked.java
@@ -5,7 +5,9 @@
 import io.violetrail.net.Loop;
 import io.violetrail.net.Service.Answer;
 import io.violetrail.wire.BeatWire.Beat;
+import io.violetrail.wire.BeatWire.Order;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 
@@ -22,8 +24,13 @@
   /** Well below the 4 s that a worker waits for an answer. */
   private static final double MOST_S = 2;
 
-  /** A report whose answer is kept open. */
-  record Report(Machine machine, Beat beat, Consumer<Answer> done, Loop.Cancellable timer) {}
+  /** A report whose answer is kept open. {@code first}: commands that it carries in any case. */
+  record Report(
+      Machine machine,
+      Beat beat,
+      List<Order> first,
+      Consumer<Answer> done,
+      Loop.Cancellable timer) {}
 
   private final Loop loop;
   private final double waitS;
@@ -35,8 +42,8 @@
   }
 
   /** Keeps the answer open; {@code answer} is run when the time is over. */
-  void park(Machine m, Beat beat, Consumer<Answer> done, Runnable answer) {
-    reports.put(m.id(), new Report(m, beat, done, loop.after(waitS, answer)));
+  void park(Machine m, Beat beat, List<Order> first, Consumer<Answer> done, Runnable answer) {
+    reports.put(m.id(), new Report(m, beat, first, done, loop.after(waitS, answer)));
   }
 
   /** Takes the open report of a machine out; null if there is none. */
