--- a/src/main/java/io/violetrail/cli/Main.java
+++ b/src/main/java/io/violetrail/cli/Main.java
@@ -32,6 +32,12 @@
     versionProvider = Main.VersionOfJar.class,
     description = "Runs one controller of a violetrail cluster.")
 public final class Main implements Callable<Integer> {
+  /**
+   * Callbacks nest deeply on the I/O thread, and native code and signal handlers run on what is
+   * left of its stack. Only what is touched counts as memory.
+   */
+  private static final long STACK_BYTES = 1024L * 1024;
+
   private static final int BAD_USAGE = 2;
 
   @Option(names = "--config", paramLabel = "FILE", description = "the platform's settings (TOML)")
@@ -136,7 +142,7 @@
                     .set(org.xnio.Options.WORKER_IO_THREADS, 1)
                     .set(org.xnio.Options.WORKER_TASK_CORE_THREADS, 1)
                     .set(org.xnio.Options.WORKER_TASK_MAX_THREADS, 2)
-                    .set(org.xnio.Options.STACK_SIZE, 256L * 1024)
+                    .set(org.xnio.Options.STACK_SIZE, STACK_BYTES)
                     .set(org.xnio.Options.TCP_NODELAY, true)
                     .getMap());
     var buffers = new DefaultByteBufferPool(true, 8 * 1024, 256, 0);
