--- a/src/main/java/io/violetrail/api/Ledger.java
+++ b/src/main/java/io/violetrail/api/Ledger.java
@@ -3,6 +3,9 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.violetrail.api.Sheets.Entered;
+import io.violetrail.api.Sheets.Page;
+import io.violetrail.api.Sheets.Sheet;
 import io.violetrail.model.JobId;
 import io.violetrail.model.JobSpec;
 import io.violetrail.model.JobView;
@@ -12,7 +15,6 @@
 import io.violetrail.ownership.Rows;
 import io.violetrail.state.StateStore.Unavailable;
 import io.violetrail.wire.Cbor;
-import io.violetrail.wire.Cbor.Malformed;
 import io.violetrail.wire.JobWire;
 import io.violetrail.wire.StateWire.Entry;
 import io.violetrail.wire.StateWire.Outcome;
@@ -42,12 +44,6 @@
   private static final double GATHER_S = 0.01;
   private static final double AGAIN_S = 0.15;
 
-  /** Part of a value that a sheet or page is filled to. */
-  private static final double FILLED = 0.75;
-
-  /** What an entry's name and marks take beside its description. */
-  private static final int NAME_CHARS = 40;
-
   /** Two jobs that begin, or one that begins and one that ends. */
   private static final int LEAST_WRITES = 3;
 
@@ -56,47 +52,12 @@
 
   private final Node node;
   private final Holding h;
-  private final int maxChars;
-  private final int pageJobs;
-  private final List<Sheet> sheets = new ArrayList<>();
-  private final Map<String, Page> pages = new HashMap<>();
-  private final Map<JobId, Entered> open = new HashMap<>();
+  private final Sheets sheets;
   private final ArrayDeque<Edit> edits = new ArrayDeque<>();
   private final Map<JobId, Edit> entering = new HashMap<>();
-  private Page current;
-  private int pagesBegun;
   private boolean awake;
   private boolean writing;
 
-  /** What stands on a sheet of one open job. */
-  private record Entered(JobId id, Sheet sheet, Page page, ArrayNode value, int chars) {}
-
-  private static final class Sheet {
-    final int number;
-    long stamp;
-    final Map<JobId, Entered> jobs = new LinkedHashMap<>();
-
-    Sheet(int number) {
-      this.number = number;
-    }
-
-    int chars() {
-      return jobs.values().stream().mapToInt(Entered::chars).sum();
-    }
-  }
-
-  private static final class Page {
-    final String name;
-    long stamp;
-    int promised;
-    int open;
-    final Map<JobId, String> ends = new LinkedHashMap<>();
-
-    Page(String name) {
-      this.name = name;
-    }
-  }
-
   /** A job that begins ({@code spec}) or ends ({@code end}). */
   private static final class Edit {
     final JobId id;
@@ -116,8 +77,7 @@
   Ledger(Node node, Holding h) {
     this.node = node;
     this.h = h;
-    this.maxChars = (int) (node.settings.stateLimits().valueBytes() * FILLED);
-    this.pageJobs = Math.max(1, maxChars / NAME_CHARS);
+    this.sheets = new Sheets(h, node.settings.stateLimits().valueBytes());
   }
 
   /** The end of a job as it stands on a page; null if none stands there. */
@@ -231,14 +191,14 @@
       if (e.spec != null) {
         enter(e);
       } else {
-        Entered job = open.get(e.id);
+        Entered job = sheets.open(e.id);
         if (job == null) {
           // Its end stands already. Whoever waits may have more to store, so is told afterwards.
           node.loop.execute(() -> e.done.complete(true));
           return true;
         }
         left.add(e.id);
-        pagesTo.computeIfAbsent(job.page, p -> new LinkedHashMap<>(p.ends)).put(e.id, e.end);
+        pagesTo.computeIfAbsent(job.page(), p -> new LinkedHashMap<>(p.ends)).put(e.id, e.end);
       }
       taken.add(e);
       return true;
@@ -246,12 +206,11 @@
 
     private void enter(Edit e) {
       ArrayNode value = Cbor.map().arrayNode();
-      Page page = page();
-      page.promised++;
+      Page page = sheets.pageForNext();
       value.add(page.name).add(e.arrivedMs);
       JobWire.pack(e.spec, value);
-      int chars = value.toString().length() + NAME_CHARS;
-      Sheet sheet = withSpace(chars);
+      int chars = Sheets.chars(value);
+      Sheet sheet = sheets.withSpace(chars, sheetsTo);
       Entered job = new Entered(e.id, sheet, page, value, chars);
       sheetsTo.computeIfAbsent(sheet, s -> new LinkedHashMap<>(s.jobs)).put(e.id, job);
       entered.put(e.id, job);
@@ -260,19 +219,6 @@
           .set(Rows.job(e.id), Jobs.row(h.entity(), e.spec).put("page", page.name));
     }
 
-    private Sheet withSpace(int chars) {
-      for (Sheet s : sheets) {
-        Map<JobId, Entered> to = sheetsTo.get(s);
-        int used = to == null ? s.chars() : to.values().stream().mapToInt(Entered::chars).sum();
-        if (used == 0 || used + chars <= maxChars) {
-          return s;
-        }
-      }
-      Sheet fresh = new Sheet(sheets.size());
-      sheets.add(fresh);
-      return fresh;
-    }
-
     Txn finish() {
       sheetsTo.forEach(
           (sheet, jobs) -> {
@@ -299,43 +245,12 @@
             page.stamp = revision;
             page.ends.putAll(ends);
           });
-      entered.forEach(
-          (id, job) -> {
-            job.sheet().jobs.put(id, job);
-            opened(job);
-          });
-      left.forEach(Ledger.this::leave);
+      entered.values().forEach(sheets::opened);
+      left.forEach(sheets::leave);
       taken.forEach(e -> e.done.complete(true));
     }
   }
 
-  /** A job is over: its place on its sheet is free, and the sheet's next write says so. */
-  private void leave(JobId id) {
-    Entered job = open.remove(id);
-    if (job != null) {
-      job.sheet().jobs.remove(id);
-      // A page that no open job names is not written any more.
-      if (--job.page().open == 0 && job.page() != current) {
-        pages.remove(job.page().name);
-      }
-    }
-  }
-
-  private void opened(Entered job) {
-    if (open.put(job.id(), job) == null) {
-      job.page().open++;
-    }
-  }
-
-  /** The page for the ends of jobs that begin now. Its name was never given before. */
-  private Page page() {
-    if (current == null || current.promised >= pageJobs) {
-      current = new Page(h.row.version() + "-" + ++pagesBegun);
-      pages.put(current.name, current);
-    }
-    return current;
-  }
-
   private Draft draft() {
     if (h.phase == Holding.Phase.LOST) {
       fail();
@@ -418,54 +333,19 @@
               }
               writing = false;
               for (int i = 0; i < sheetsOff.size(); i++) {
-                take(sheetsOff.get(i), reads.get(i).join());
+                sheets.take(sheetsOff.get(i), reads.get(i).join(), draft.entered::containsKey);
               }
               for (int i = 0; i < pagesOff.size(); i++) {
-                take(pagesOff.get(i), reads.get(sheetsOff.size() + i).join());
+                sheets.take(pagesOff.get(i), reads.get(sheetsOff.size() + i).join());
               }
               settle(draft);
             });
   }
 
-  private void take(Page page, Entry entry) {
-    page.stamp = entry.stamp();
-    if (entry.value() != null) {
-      entry
-          .value()
-          .fields()
-          .forEachRemaining(f -> page.ends.put(new JobId(f.getKey()), f.getValue().asText()));
-    }
-    page.ends.keySet().forEach(this::leave);
-  }
-
-  private void take(Sheet sheet, Entry entry) {
-    sheet.stamp = entry.stamp();
-    Map<JobId, Entered> before = new HashMap<>(sheet.jobs);
-    sheet.jobs.clear();
-    JsonNode value = entry.value() == null ? Cbor.map() : entry.value();
-    value
-        .fields()
-        .forEachRemaining(
-            f -> {
-              JobId id = new JobId(f.getKey());
-              ArrayNode packed = (ArrayNode) f.getValue();
-              Page page = pages.computeIfAbsent(packed.path(0).asText(), Page::new);
-              Entered known = before.get(id);
-              if (known != null) {
-                sheet.jobs.put(id, known);
-              } else if (!page.ends.containsKey(id)) {
-                Entered job =
-                    new Entered(id, sheet, page, packed, packed.toString().length() + NAME_CHARS);
-                sheet.jobs.put(id, job);
-                opened(job);
-              }
-            });
-  }
-
   private void settle(Draft draft) {
     List<Edit> again = new ArrayList<>();
     for (Edit e : draft.taken) {
-      boolean done = e.spec != null ? open.containsKey(e.id) : !open.containsKey(e.id);
+      boolean done = (e.spec != null) == (sheets.open(e.id) != null);
       if (done) {
         e.done.complete(true);
       } else {
@@ -475,49 +355,24 @@
     repeat(again);
   }
 
-  /** An open job as it was stored. */
-  public record Stored(JobSpec spec, long arrivedMs) {}
-
-  /**
-   * Takes over what a former owner left: the sheets listed, and the pages that they name, which
-   * tell which of those jobs are over.
-   */
+  /** Takes over what a former owner left on the sheets listed; the jobs that are still open. */
   CompletableFuture<List<Stored>> load(List<Entry> listed) {
-    Set<String> names = new HashSet<>();
-    for (Entry e : listed) {
-      e.value().elements().forEachRemaining(v -> names.add(v.path(0).asText()));
-    }
     Map<String, CompletableFuture<Entry>> reads = new HashMap<>();
-    names.forEach(n -> reads.put(n, node.store.getNow(Rows.page(h.entity(), n))));
+    Sheets.pagesOf(listed).forEach(n -> reads.put(n, node.store.getNow(Rows.page(h.entity(), n))));
     return CompletableFuture.allOf(reads.values().toArray(CompletableFuture[]::new))
         .thenApply(
             nothing -> {
-              reads.forEach((n, read) -> take(pages.computeIfAbsent(n, Page::new), read.join()));
-              String prefix = Rows.sheets(h.entity());
-              for (Entry e : listed) {
-                int number = Integer.parseInt(e.key().substring(prefix.length()));
-                while (sheets.size() <= number) {
-                  sheets.add(new Sheet(sheets.size()));
-                }
-                take(sheets.get(number), e);
-              }
-              List<Stored> all = new ArrayList<>();
-              open.keySet().forEach(id -> all.add(stored(id)));
-              all.removeIf(s -> s == null);
-              return all;
+              reads.forEach((name, read) -> sheets.takePage(name, read.join()));
+              listed.forEach(sheets::takeSheet);
+              return sheets.allStored();
             });
   }
 
   /** The job if it is open at this entity; null if it is not. */
   Stored stored(JobId id) {
-    Entered job = open.get(id);
-    try {
-      return job == null
-          ? null
-          : new Stored(JobWire.unpack(id, job.value(), 2), job.value().path(1).asLong());
-    } catch (Malformed m) {
-      Jobs.LOG.error("job {} cannot be read: {}", id, m.getMessage());
-      return null;
-    }
+    return sheets.stored(id);
   }
+
+  /** An open job as it was stored. */
+  public record Stored(JobSpec spec, long arrivedMs) {}
 }
