--- a/src/main/java/io/violetrail/fleet/Fleet.java
+++ b/src/main/java/io/violetrail/fleet/Fleet.java
@@ -288,10 +288,7 @@
         plan.demand(job, job.unplaced(), false);
       }
     }
-    // Calls are few: the one that brings the most machines goes first.
-    plan.wanted().entrySet().stream()
-        .sorted(Map.Entry.<Offer, Integer>comparingByValue().reversed())
-        .forEach(e -> hires.hire(h, e.getKey(), e.getValue()));
+    plan.inOrder().forEach(e -> hires.hire(h, e.getKey(), e.getValue()));
   }
 
   /**
--- a/src/main/java/io/violetrail/fleet/RentPlan.java
+++ b/src/main/java/io/violetrail/fleet/RentPlan.java
@@ -3,10 +3,12 @@
 import io.violetrail.fleet.Hires.Offer;
 import io.violetrail.model.Amounts;
 import io.violetrail.model.MachineType;
+import io.violetrail.model.Priority;
 import io.violetrail.model.Shape;
 import io.violetrail.scheduling.Job;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -34,6 +36,9 @@
 
   private final Map<Offer, Integer> wanted = new HashMap<>();
 
+  /** The most urgent priority for which each offer is wanted. */
+  private final Map<Offer, Priority> urgency = new HashMap<>();
+
   /** A machine as room for what waits. */
   private static final class Bin {
     final Offer offer;
@@ -91,6 +96,19 @@
     return wanted;
   }
 
+  /**
+   * What is wanted in the order in which it is to be asked for, since calls are few: the most
+   * urgent first, and of those the call that brings the most machines. By numbers alone, the one
+   * machine of an urgent job waited for a wide array's.
+   */
+  List<Map.Entry<Offer, Integer>> inOrder() {
+    List<Map.Entry<Offer, Integer>> order = new ArrayList<>(wanted.entrySet());
+    order.sort(
+        Comparator.comparing((Map.Entry<Offer, Integer> e) -> urgency.get(e.getKey()))
+            .thenComparing(e -> -e.getValue()));
+    return order;
+  }
+
   /**
    * Rents what the job's waiting tasks lack.
    *
@@ -149,6 +167,7 @@
     Bin bin = new Bin(offer, type.size(), Amounts.NONE, true);
     bins.add(bin);
     wanted.merge(offer, 1, Integer::sum);
+    urgency.merge(offer, job.spec.priority(), (a, b) -> a.compareTo(b) < 0 ? a : b);
     mayRent--;
     return take(job, bin, tasks);
   }
--- a/src/test/java/io/violetrail/stories/NightTest.java
+++ b/src/test/java/io/violetrail/stories/NightTest.java
@@ -464,4 +464,17 @@
     world.until(60, () -> user.poll("c1", "job-2").equals("done"));
     assertEquals("done", user.poll("c1", "job-1"));
   }
+
+  @Test
+  void anUrgentJobsMachineIsAskedForBeforeAWideArrays() {
+    world.cloud.types.add(
+        new MachineType("wide", new Amounts(8, 1, 32), 50, 1, 1.1, 0.3, 3, List.of("a")));
+    world.up();
+    ObjectNode wide = User.job("job-1", 30).put("gpus", 1.0).put("cores", 8.0);
+    world.ask("user", "c0", "POST", "/work", Cbor.bytes(wide));
+    ObjectNode urgent = User.job("job-2", 1).put("urgency", "high").put("cores", 8.0);
+    world.ask("user", "c0", "POST", "/work", Cbor.bytes(urgent));
+    world.until(20, () -> world.cloud.hires.containsKey("c0-0-2"));
+    assertEquals(1, world.cloud.hires.get("c0-0-1").size());
+  }
 }
