One piece for what was written twice: steps run soon, a job's state known here, the owning peer, renting the rest

Register, Ledger, GroupCommit and Dispatcher each had their own flag and timer to run a step once a moment later (now Soon); the users' API and the peers worked out a job's state each (Node.knownView), which walked the holdings beside holdingOf; Blame cleared a job and asked whether it is unproven in two places; RentPlan rented the rest in two; Boots and Spares had one lead time each. Behaviour is unchanged.

--- a/src/main/java/io/violetrail/api/Ledger.java
+++ b/src/main/java/io/violetrail/api/Ledger.java
@@ -10,6 +10,7 @@
 import io.violetrail.model.JobSpec;
 import io.violetrail.model.JobView;
 import io.violetrail.model.JobView.Status;
+import io.violetrail.net.Soon;
 import io.violetrail.node.Node;
 import io.violetrail.ownership.Holding;
 import io.violetrail.ownership.Rows;
@@ -55,7 +56,7 @@
   private final Sheets sheets;
   private final ArrayDeque<Edit> edits = new ArrayDeque<>();
   private final Map<JobId, Edit> entering = new HashMap<>();
-  private boolean awake;
+  private final Soon next;
   private boolean writing;
 
   /** A job that begins ({@code spec}) or ends ({@code end}). */
@@ -77,6 +78,7 @@
   Ledger(Node node, Holding h) {
     this.node = node;
     this.h = h;
+    this.next = new Soon(node.loop, this::write);
     this.sheets = new Sheets(h, node.settings.stateLimits().valueBytes());
   }
 
@@ -110,7 +112,7 @@
     return add(e);
   }
 
-  /** Stores the end of an open job; false if the entity has moved. */
+  /** Stores the end of an open job; fails if the entity has moved. */
   CompletableFuture<Boolean> end(JobId id, Status status, int done) {
     return add(new Edit(id, null, 0, status.name() + " " + done));
   }
@@ -122,14 +124,8 @@
   }
 
   private void wake(double inS) {
-    if (!awake && !writing && !edits.isEmpty()) {
-      awake = true;
-      node.loop.after(
-          inS,
-          () -> {
-            awake = false;
-            write();
-          });
+    if (!writing && !edits.isEmpty()) {
+      next.in(inS);
     }
   }
 
--- a/src/main/java/io/violetrail/api/UserApi.java
+++ b/src/main/java/io/violetrail/api/UserApi.java
@@ -232,11 +232,7 @@
 
   /** The current state of a job; null only if it is proven that there is no such job. */
   private CompletableFuture<JobView> resolve(JobId id) {
-    JobView over = jobs.terminalView(id);
-    if (over != null) {
-      return CompletableFuture.completedFuture(over);
-    }
-    JobView here = node.membership.valid() ? node.openView(id) : null;
+    JobView here = node.knownView(id);
     if (here != null) {
       return CompletableFuture.completedFuture(here);
     }
@@ -291,13 +287,21 @@
   }
 
   private CompletableFuture<JobView> fromOwner(JobId id, ControllerId entity) {
-    ControllerId owner = node.directory.ownerOf(entity);
-    if (owner == null || owner.equals(node.settings.self()) || !node.directory.isAlive(owner)) {
+    ControllerId owner = peerThatOwns(entity);
+    if (owner == null) {
       return CompletableFuture.failedFuture(new IllegalStateException("no owner to ask"));
     }
     return node.peers.view(owner, id);
   }
 
+  /** The peer that owns the entity and is alive; null if there is none. */
+  private ControllerId peerThatOwns(ControllerId entity) {
+    ControllerId owner = node.directory.ownerOf(entity);
+    boolean peer =
+        owner != null && !owner.equals(node.settings.self()) && node.directory.isAlive(owner);
+    return peer ? owner : null;
+  }
+
   private void abort(String text, Consumer<Answer> done) {
     if (!JobId.wellFormed(text)) {
       done.accept(Answer.empty(404));
@@ -315,8 +319,8 @@
       return;
     }
     ControllerId bound = jobs.boundTo(id);
-    ControllerId owner = bound == null ? null : node.directory.ownerOf(bound);
-    if (owner == null || owner.equals(node.settings.self()) || !node.directory.isAlive(owner)) {
+    ControllerId owner = bound == null ? null : peerThatOwns(bound);
+    if (owner == null) {
       abortByRows(id, done);
       return;
     }
--- a/src/main/java/io/violetrail/fleet/RentPlan.java
+++ b/src/main/java/io/violetrail/fleet/RentPlan.java
@@ -122,13 +122,7 @@
       return;
     }
     int left = tasks - fill(job, tasks, urgent, null);
-    while (left > 0 && mayRent > 0) {
-      Offer offer = cheapest(job, left, null);
-      if (offer == null) {
-        return;
-      }
-      left -= rent(job, offer, left);
-    }
+    rentRest(job, left, null);
   }
 
   /** A gang of one zone gets its machines in the zone where the least has to be paid for more. */
@@ -153,8 +147,14 @@
       return;
     }
     int left = job.spec.tasks() - fill(job, job.spec.tasks(), urgent, best);
+    rentRest(job, left, best);
+  }
+
+  /** Rents the cheapest, in the zone if one is named, until all of the tasks fit. */
+  private void rentRest(Job job, int tasks, String zone) {
+    int left = tasks;
     while (left > 0 && mayRent > 0) {
-      Offer offer = cheapest(job, left, best);
+      Offer offer = cheapest(job, left, zone);
       if (offer == null) {
         return;
       }
--- a/src/main/java/io/violetrail/fleet/Spares.java
+++ b/src/main/java/io/violetrail/fleet/Spares.java
@@ -25,9 +25,6 @@
   /** Arrivals remembered of a class; more tell nothing new. */
   private static final int MOST = 400;
 
-  /** Deciding, asking the cloud and the first reports take this long on top of the boot. */
-  private static final double LEAD_S = 5;
-
   /** A boot may take half as long again as its type says. */
   private static final double SLOW_BOOT = 1.5;
 
@@ -61,7 +58,7 @@
   /** Whether the job is to start sooner than a machine for it boots. */
   public boolean urgent(JobSpec job, Collection<MachineType> types) {
     Double startS = startsS.get(job.jobClass());
-    return startS != null && startS < SLOW_BOOT * bootS(job, types) + LEAD_S;
+    return startS != null && startS < SLOW_BOOT * bootS(job, types) + Boots.LEAD_S;
   }
 
   /** How long until a task could run on a machine rented now. */
@@ -70,7 +67,7 @@
     for (MachineType t : types) {
       fetch = Math.max(fetch, job.imageGb() / t.fetchGbPerS());
     }
-    return bootS(job, types) + LEAD_S + fetch;
+    return bootS(job, types) + Boots.LEAD_S + fetch;
   }
 
   private static double bootS(JobSpec job, Collection<MachineType> types) {
@@ -100,7 +97,7 @@
     for (Seen seen : classes.values()) {
       seen.since(now - WINDOW_S);
       if (seen.tasks > 0 && urgent(seen.example, types)) {
-        double lead = bootS(seen.example, types) + LEAD_S;
+        double lead = bootS(seen.example, types) + Boots.LEAD_S;
         all.put(seen.example, (int) Math.ceil(seen.tasks / WINDOW_S * lead));
       }
     }
--- a/src/main/java/io/violetrail/node/Node.java
+++ b/src/main/java/io/violetrail/node/Node.java
@@ -10,6 +10,7 @@
 import io.violetrail.fleet.Prices;
 import io.violetrail.fleet.Sharing;
 import io.violetrail.model.ControllerId;
+import io.violetrail.model.JobId;
 import io.violetrail.model.JobView;
 import io.violetrail.model.MachineId;
 import io.violetrail.model.MachineType;
@@ -323,19 +324,18 @@
     return own != null && own.active() && membership.mayKeepAlive() && !types().isEmpty();
   }
 
-  /** The view of a job that is open at an entity held here; null if it is not. */
-  public JobView openView(io.violetrail.model.JobId id) {
-    for (Holding h : membership.holdings()) {
-      var job = h.active() ? h.jobs.get(id) : null;
-      if (job != null) {
-        return job.view();
-      }
+  /** The state of a job as it is known here for sure; null if it is not. */
+  public JobView knownView(JobId id) {
+    JobView over = jobs.terminalView(id);
+    if (over != null || !membership.valid()) {
+      return over;
     }
-    return null;
+    Holding h = holdingOf(id);
+    return h == null ? null : h.jobs.get(id).view();
   }
 
   /** The held entity that has the job open; null if there is none. */
-  public Holding holdingOf(io.violetrail.model.JobId id) {
+  public Holding holdingOf(JobId id) {
     for (Holding h : membership.holdings()) {
       if (h.active() && h.jobs.containsKey(id)) {
         return h;
--- a/src/main/java/io/violetrail/ownership/Register.java
+++ b/src/main/java/io/violetrail/ownership/Register.java
@@ -3,6 +3,7 @@
 import io.violetrail.config.Settings;
 import io.violetrail.model.MachineId;
 import io.violetrail.net.Loop;
+import io.violetrail.net.Soon;
 import io.violetrail.ownership.Directory.Block;
 import io.violetrail.ownership.Rows.EntityRow;
 import io.violetrail.ownership.Rows.MachineRow;
@@ -42,7 +43,6 @@
   /** Changes that wait; beyond that the caller is told no and comes back. */
   private static final int MAX_EDITS = 2_000;
 
-  private final Loop loop;
   private final StateStore store;
   private final Directory directory;
   private final Membership membership;
@@ -50,7 +50,7 @@
   private final Holding h;
   private final int blockSize;
   private List<Edit> edits = new ArrayList<>();
-  private boolean awake;
+  private final Soon next;
   private boolean writing;
 
   /** The last transaction left changes for the next one. */
@@ -93,7 +93,7 @@
       Membership membership,
       Settings settings,
       Holding h) {
-    this.loop = loop;
+    this.next = new Soon(loop, this::write);
     this.store = store;
     this.directory = directory;
     this.membership = membership;
@@ -173,14 +173,8 @@
   }
 
   private void wake(double inS) {
-    if (!awake && !writing && !edits.isEmpty()) {
-      awake = true;
-      loop.after(
-          inS,
-          () -> {
-            awake = false;
-            write();
-          });
+    if (!writing && !edits.isEmpty()) {
+      next.in(inS);
     }
   }
 
--- a/src/main/java/io/violetrail/peer/Need.java
+++ b/src/main/java/io/violetrail/peer/Need.java
@@ -63,7 +63,7 @@
   }
 
   public boolean allows(String type, String inZone, boolean spotMachine) {
-    return (types.isEmpty() || List.of(types.split(",")).contains(type))
+    return (types.isEmpty() || typeList().contains(type))
         && (zone.isEmpty() || zone.equals(inZone))
         && (spot || !spotMachine);
   }
--- a/src/main/java/io/violetrail/peer/Peers.java
+++ b/src/main/java/io/violetrail/peer/Peers.java
@@ -278,10 +278,7 @@
     ArrayList<View> known = new ArrayList<>();
     for (String text : Splitter.on(' ').limit(Views.MOST).split(ids)) {
       JobId id = new JobId(text);
-      JobView view = node.jobs.terminalView(id);
-      if (view == null && node.membership.valid()) {
-        view = node.openView(id);
-      }
+      JobView view = node.knownView(id);
       if (view != null) {
         known.add(View.of(view, node.jobs.boundTo(id)));
       }
--- a/src/main/java/io/violetrail/scheduling/Blame.java
+++ b/src/main/java/io/violetrail/scheduling/Blame.java
@@ -30,10 +30,7 @@
     job.trial.failed(m, ranS, now);
     m.failures.merge(job, 1, Integer::sum);
     judge(m);
-    if (job.doneCount() == 0
-        && !job.trial.proven()
-        && !job.trial.suspect()
-        && job.trial.machinesInUse() >= 2) {
+    if (unproven(job) && !job.trial.suspect() && job.trial.machinesInUse() >= 2) {
       job.trial.suspect(true);
       LOG.info("job {} fails wherever it goes: one probe at a time", job.spec.id());
       job.trial.machines().forEach(Blame::judge);
@@ -44,28 +41,35 @@
   public static void endedWell(Machine m, Job job) {
     m.failures.clear();
     if (job.trial.failedAnywhere()) {
-      job.trial.endedWell();
-      job.notBefore.clear();
-      job.trial.machines().forEach(Blame::judge);
+      cleared(job);
     }
   }
 
   /** A task runs: for long enough, that says as much as if it had ended well. */
   public static void runs(Job job, double ranS) {
     if (job.trial.failedAnywhere() && !job.trial.proven() && job.trial.runsWell(ranS)) {
-      job.trial.endedWell();
-      job.notBefore.clear();
-      job.trial.machines().forEach(Blame::judge);
+      cleared(job);
     }
   }
 
+  private static void cleared(Job job) {
+    job.trial.endedWell();
+    job.notBefore.clear();
+    job.trial.machines().forEach(Blame::judge);
+  }
+
+  /** Whether nothing of the job has run well anywhere yet. */
+  private static boolean unproven(Job job) {
+    return job.doneCount() == 0 && !job.trial.proven();
+  }
+
   private static void judge(Machine m) {
     double evidence = 0;
     for (var e : m.failures.entrySet()) {
       Job job = e.getKey();
       if (job.trial.suspect()) {
         evidence += SUSPECT_SAYS;
-      } else if (job.doneCount() == 0 && !job.trial.proven()) {
+      } else if (unproven(job)) {
         evidence += UNPROVEN_SAYS;
       } else {
         evidence += e.getValue() >= FAILURES ? SICK : 1;
--- a/src/main/java/io/violetrail/scheduling/Dispatcher.java
+++ b/src/main/java/io/violetrail/scheduling/Dispatcher.java
@@ -5,6 +5,7 @@
 import io.violetrail.model.JobSpec;
 import io.violetrail.model.MachineId;
 import io.violetrail.model.Shape;
+import io.violetrail.net.Soon;
 import io.violetrail.node.Node;
 import io.violetrail.ownership.Holding;
 import io.violetrail.wire.BeatWire.Why;
@@ -46,12 +47,13 @@
   /** Machines with new placements whose workers may be waiting. */
   private final Set<MachineId> given = new LinkedHashSet<>();
 
-  private boolean awake;
+  private final Soon next;
   private double notBeforeS;
 
   public Dispatcher(Node node) {
     this.node = node;
     this.aims = new Aims(node.settings.objectives(), node.settings.teams());
+    this.next = new Soon(node.loop, this::pass);
     this.preemption = new Preemption(node.halts::halted);
     this.placer = new Placer(aims, node.estimates, node.random, node.options.sample());
   }
@@ -62,14 +64,10 @@
 
   /** Something has changed that may let a task be placed. */
   public void wake() {
-    if (!awake) {
-      awake = true;
-      node.loop.after(Math.max(GATHER_S, notBeforeS - node.loop.seconds()), this::pass);
-    }
+    next.in(Math.max(GATHER_S, notBeforeS - node.loop.seconds()));
   }
 
   private void pass() {
-    awake = false;
     if (!node.membership.valid()) {
       return;
     }
--- a/src/main/java/io/violetrail/scheduling/Trial.java
+++ b/src/main/java/io/violetrail/scheduling/Trial.java
@@ -40,8 +40,7 @@
       tries++;
       lastS = now;
     }
-    pausedUntilS =
-        Math.max(pausedUntilS, now + Math.min(MAX_PAUSE_S, Math.pow(2, Math.min(tries, 6))));
+    pausedUntilS = Math.max(pausedUntilS, now + Math.min(MAX_PAUSE_S, Math.pow(2, tries)));
   }
 
   /** A task of the job runs well: what failed was its machine's doing. */
--- a/src/main/java/io/violetrail/state/GroupCommit.java
+++ b/src/main/java/io/violetrail/state/GroupCommit.java
@@ -2,6 +2,7 @@
 
 import io.violetrail.net.Budget;
 import io.violetrail.net.Loop;
+import io.violetrail.net.Soon;
 import io.violetrail.state.StateStore.Unavailable;
 import io.violetrail.wire.StateWire.Outcome;
 import io.violetrail.wire.StateWire.Txn;
@@ -58,7 +59,7 @@
   private final Function<Txn, CompletableFuture<Outcome>> send;
   private final Map<Lane, ArrayDeque<Part>> lanes = new EnumMap<>(Lane.class);
   private int inFlight;
-  private boolean pumping;
+  private final Soon next;
 
   /** The lane that the last request began with, and the one that goes before its place. */
   private Lane served;
@@ -118,6 +119,7 @@
       int maxWrites,
       Function<Txn, CompletableFuture<Outcome>> send) {
     this.loop = loop;
+    this.next = new Soon(loop, this::flush);
     this.requests = requests;
     this.writes = writes;
     this.maxWrites = maxWrites;
@@ -142,22 +144,10 @@
 
   private CompletableFuture<Outcome> add(Part part) {
     lanes.get(part.lane).addLast(part);
-    pump(GATHER_S);
+    next.in(GATHER_S);
     return part.done;
   }
 
-  private void pump(double inS) {
-    if (!pumping) {
-      pumping = true;
-      loop.after(
-          inS,
-          () -> {
-            pumping = false;
-            flush();
-          });
-    }
-  }
-
   private void flush() {
     boolean waits = false;
     while (inFlight < IN_FLIGHT) {
@@ -172,7 +162,7 @@
       waits |= !lane.isEmpty();
     }
     if (waits && inFlight < IN_FLIGHT) {
-      pump(PAUSE_S);
+      next.in(PAUSE_S);
     }
   }
 
@@ -294,7 +284,7 @@
                 group.forEach(p -> p.alone = true);
                 again(group);
               }
-              pump(0);
+              next.in(0);
             });
   }
 
@@ -317,6 +307,6 @@
     for (int i = group.size() - 1; i >= 0; i--) {
       lanes.get(group.get(i).lane).addFirst(group.get(i));
     }
-    pump(0);
+    next.in(0);
   }
 }
