--- a/src/test/java/io/violetrail/stories/NightTest.java
+++ b/src/test/java/io/violetrail/stories/NightTest.java
@@ -341,4 +341,111 @@
       assertTrue(world.nodes.get("c" + i).directory.machine(new MachineId(w.id)) == null);
     }
   }
+
+  @Test
+  void afterAStartQuestionsAboutManyJobsAreAnsweredByPeers() {
+    // With a read for each in the budget, 13,000 questions of a simulated day got 503.
+    world.stateLimits = new StateLimits(60, 60, 8192, 12);
+    world.cloud.capacity = 0;
+    world.up();
+    for (int i = 0; i < 120; i++) {
+      user.submit("c0", User.job("job-" + i, 1));
+    }
+    world.kill("c1");
+    world.run(6);
+    world.start("c1");
+    world.until(10, () -> world.nodes.get("c1").membership.own() != null);
+    world.run(1);
+    List<Integer> answers = new ArrayList<>();
+    for (int i = 0; i < 120; i++) {
+      world
+          .ask("user", "c1", "GET", "/work/job-" + i, null)
+          .thenAccept(r -> answers.add(r.status()));
+    }
+    world.run(1);
+    assertEquals(120, answers.stream().filter(s -> s == 200).count());
+    assertEquals("cancelled", user.abort("c1", "job-7"));
+    assertEquals("cancelled", user.poll("c2", "job-7"));
+  }
+
+  @Test
+  void roomForAnUrgentJobIsMadeBeforeTheNextReports() {
+    // Up to a report's interval went by before a task heard that it was to make way.
+    world.cloud.capacity = 0;
+    world.cloud.runS = 100;
+    world.up();
+    FakeWorker w = world.cloud.given("plain", "a");
+    world.run(4);
+    user.submit("c0", User.job("job-1", 8));
+    world.until(10, () -> w.active() == 8);
+    world.run(2);
+    world.hold(m -> m.startsWith(w.id + " "));
+    user.submit("c0", User.job("job-2", 1).put("urgency", "high").put("cores", 8.0));
+    world.run(0.5);
+    assertEquals(0, w.active());
+    world.release();
+    world.until(4, () -> w.has("job-2/0"));
+  }
+
+  @Test
+  void aHaltThatComesLateStopsNothingElse() {
+    world.cloud.capacity = 0;
+    world.cloud.runS = 30;
+    world.up();
+    FakeWorker w = world.cloud.given("plain", "a");
+    world.run(4);
+    user.submit("c0", User.job("job-1", 8));
+    world.until(10, () -> w.active() == 8);
+    world.run(2);
+    world.hold(m -> m.contains("/orders"));
+    user.submit("c0", User.job("job-2", 1).put("urgency", "high").put("cores", 8.0));
+    world.until(8, () -> w.has("job-2/0"));
+    world.until(60, () -> w.has("job-1/7"));
+    assertTrue(world.heldBack() > 0);
+    int before = w.active();
+    world.release();
+    assertEquals(before, w.active());
+  }
+
+  @Test
+  void anIdleWorkerIsGivenWorkAtOnce() {
+    // A gang waited for the slowest of its machines' next reports.
+    world.cloud.capacity = 0;
+    world.up();
+    for (int i = 0; i < 3; i++) {
+      world.cloud.given("plain", "a");
+    }
+    world.run(8);
+    user.submit("c0", User.job("job-1", 3).put("shape", "ensemble").put("cores", 8.0));
+    user.submit("c1", User.job("job-2", 3).put("shape", "ensemble").put("cores", 8.0));
+    user.submit("c2", User.job("job-3", 3).put("shape", "ensemble").put("cores", 8.0));
+    world.run(2.2);
+    assertEquals(3, launches(), "one of them has its three machines together");
+  }
+
+  @Test
+  void aReportThatIsKeptOpenIsAnsweredInTime() {
+    world.cloud.capacity = 0;
+    world.up();
+    FakeWorker w = world.cloud.given("plain", "a");
+    world.run(60);
+    assertEquals(0, w.sessionsLost(), "its lease never ended");
+  }
+
+  @Test
+  void aSliceDoesNotGoToAndFro() {
+    // Seen on a small simulated day: each second two entities gave one slice to each other.
+    world.teams.put("blue", new Team("blue", 0, 0, 24, 0));
+    world.cloud.capacity = 0;
+    world.up();
+    user.submit("c0", User.job("job-1", 24).put("crew", "blue").put("gpus", 0.0));
+    world.run(1);
+    ObjectNode urgent = User.job("job-2", 3).put("crew", "blue").put("shape", "ensemble");
+    user.submit("c1", urgent.put("cores", 8.0).put("urgency", "high"));
+    world.run(4);
+    world.cloud.down = true;
+    int before = world.state.writes;
+    world.run(30);
+    assertTrue(world.state.writes - before < 10, "writes " + (world.state.writes - before));
+  }
 }
