Starts that objectives ask for count as due times in the order of jobs

Ruled out: the state service (no request refused), the cloud (sold out, not slow), processors (0.03 of a core). Change: the next thing expected of a job includes its class's starts; who still can start in time goes first.

--- a/src/main/java/io/violetrail/scheduling/Aims.java
+++ b/src/main/java/io/violetrail/scheduling/Aims.java
@@ -63,6 +63,23 @@
     return next;
   }
 
+  /**
+   * The moment by which the job is to be complete for the next thing that is expected of it, starts
+   * counted as well: a job that still can start in time goes before one that has missed that and
+   * has longer until the next. By ends alone, a burst was served in the order of arrival, and then
+   * nearly every urgent job of it started late.
+   */
+  double nextAimS(Job job, double now, double runS) {
+    double next = nextDueS(job, now, runS);
+    for (Objective o : objectives) {
+      double start = job.arrivedS + o.withinS();
+      if ("wait".equals(o.kind()) && job.spec.jobClass().equals(o.jobClass()) && now <= start) {
+        next = Math.min(next, start + runS);
+      }
+    }
+    return next;
+  }
+
   /** Within how long after its arrival a job's class is expected to start; infinite if at ease. */
   public double startS(JobSpec job) {
     double start = Double.POSITIVE_INFINITY;
--- a/src/main/java/io/violetrail/scheduling/Waiting.java
+++ b/src/main/java/io/violetrail/scheduling/Waiting.java
@@ -57,7 +57,7 @@
         double run = estimates.runS(job.spec);
         // What fails wherever it goes comes after all that may be in time.
         boolean suspect = job.trial.suspect();
-        double due = suspect ? Double.POSITIVE_INFINITY : aims.nextDueS(job, now, run);
+        double due = suspect ? Double.POSITIVE_INFINITY : aims.nextAimS(job, now, run);
         double work = job.unplaced() * run * amount(job.spec.task(), accelerated(job)) / room;
         dues.add(new InTime.Due(job, due, work, run));
       }
