--- a/src/main/java/io/violetrail/scheduling/Dispatcher.java
+++ b/src/main/java/io/violetrail/scheduling/Dispatcher.java
@@ -42,6 +42,7 @@
   private final Preemption preemption;
   private final Placer placer;
   private final Map<Holding, Waiting> waiting = new HashMap<>();
+  private final Map<Holding, Headroom> headroom = new HashMap<>();
   private final Aims aims;
 
   /** Machines with new placements whose workers may be waiting. */
@@ -85,6 +86,7 @@
   private void tick() {
     double now = node.loop.seconds();
     waiting.keySet().retainAll(node.membership.holdings());
+    headroom.keySet().retainAll(node.membership.holdings());
     for (Holding h : node.membership.holdings()) {
       if (h.active()) {
         for (Machine m : List.copyOf(h.machines.values())) {
@@ -254,7 +256,7 @@
       return;
     }
     double now = node.loop.seconds();
-    placer.prices(node.prices());
+    decideFor(h, now);
     List<Machine> open = new ArrayList<>();
     for (Machine m : h.machines.values()) {
       if (m.open() && m.room().cpus() > 0) {
@@ -278,13 +280,19 @@
     node.sharing.ask(h);
   }
 
+  private void decideFor(Holding h, double now) {
+    Headroom room = headroom.computeIfAbsent(h, Headroom::new);
+    room.refresh(node.fleet.spares.perSecond(node.types().values(), now), now);
+    placer.with(node.prices(), room);
+  }
+
   /** Fills what has become free on a machine, for the answer to its report. */
   public void fill(Holding h, Machine m) {
     double now = node.loop.seconds();
     if (!m.open()) {
       return;
     }
-    placer.prices(node.prices());
+    decideFor(h, now);
     boolean uncertain = h.uncertain(now);
     int gangs = 0;
     List<Machine> open = List.of(m);
--- a/src/main/java/io/violetrail/scheduling/Placer.java
+++ b/src/main/java/io/violetrail/scheduling/Placer.java
@@ -33,6 +33,7 @@
   private final Map<String, Accelerated> accelerated = new HashMap<>();
 
   private Prices prices;
+  private Headroom headroom;
 
   /** A machine used less than this may be emptied by and by. */
   private static final double LIGHT = 0.5;
@@ -49,8 +50,10 @@
     this.sample = sample;
   }
 
-  void prices(Prices now) {
-    prices = now;
+  /** What the next decisions go by: they are about one entity. */
+  void with(Prices current, Headroom ofEntity) {
+    prices = current;
+    headroom = ofEntity;
   }
 
   long looked() {
@@ -87,7 +90,8 @@
         && !(job.spareWork && now < m.clearedUntilS)
         && allowed(job, m, perZone)
         && leavesAccelerators(job, m, now)
-        && affordable(job, m, now);
+        && affordable(job, m, now)
+        && headroom.leaves(job.spec, m);
   }
 
   /** Whether a task of the job could start there if there were room. */
