Of idle machines the one that fell idle last is used first

Cause: idle machines were taken at random, so that of many each was used again just before it would have been returned. Change: idleness counts in the score of an empty machine.

--- a/src/main/java/io/violetrail/scheduling/Dispatcher.java
+++ b/src/main/java/io/violetrail/scheduling/Dispatcher.java
@@ -283,7 +283,7 @@
   private void decideFor(Holding h, double now) {
     Headroom room = headroom.computeIfAbsent(h, Headroom::new);
     room.refresh(node.fleet.spares.perSecond(node.types().values(), now), now);
-    placer.with(node.prices(), room);
+    placer.with(now, node.prices(), room);
   }
 
   /** Fills what has become free on a machine, for the answer to its report. */
--- a/src/main/java/io/violetrail/scheduling/Placer.java
+++ b/src/main/java/io/violetrail/scheduling/Placer.java
@@ -32,6 +32,13 @@
   /** Classes of jobs with accelerators that were here lately, with what their tasks take. */
   private final Map<String, Accelerated> accelerated = new HashMap<>();
 
+  /** Weight of a machine's idleness, below those of price and images, */
+  private static final double LONGEST_IDLE = 0.3;
+
+  /** and the idleness that gets all of it. */
+  private static final double IDLE_S = 60;
+
+  private double nowS;
   private Prices prices;
   private Headroom headroom;
 
@@ -51,7 +58,8 @@
   }
 
   /** What the next decisions go by: they are about one entity. */
-  void with(Prices current, Headroom ofEntity) {
+  void with(double now, Prices current, Headroom ofEntity) {
+    nowS = now;
     prices = current;
     headroom = ofEntity;
   }
@@ -273,6 +281,11 @@
     if (size.gpus() > 0) {
       score += job.spec.task().gpus() > 0 ? rest.gpus() / size.gpus() : 1;
     }
+    if (m.empty()) {
+      // The one that fell idle last: taken at random, each of many idle machines was used again
+      // just before it would have been returned.
+      score += LONGEST_IDLE * Math.min(1, (nowS - m.idleSinceS) / IDLE_S);
+    }
     if (!m.images.contains(job.spec.image())) {
       double fetchS = job.spec.imageGb() / m.type.fetchGbPerS();
       score +=
