No dear machine for jobs that those there get done in time, or before it is up

Change: the order of jobs notes when the room that is there has each job done. In time: it is worth no more than at ease. Done before a dear machine could: that one is not rented.

--- a/src/main/java/io/violetrail/scheduling/Aims.java
+++ b/src/main/java/io/violetrail/scheduling/Aims.java
@@ -67,10 +67,13 @@
    * The moment by which the job is to be complete for the next thing that is expected of it, starts
    * counted as well: a job that still can start in time goes before one that has missed that and
    * has longer until the next. By ends alone, a burst was served in the order of arrival, and then
-   * nearly every urgent job of it started late.
+   * nearly every urgent job of it started late. A job with a deadline of its own goes by that.
    */
   double nextAimS(Job job, double now, double runS) {
     double next = nextDueS(job, now, runS);
+    if (job.spec.deadlineS() != null) {
+      return next;
+    }
     for (Objective o : objectives) {
       double start = job.arrivedS + o.withinS();
       if ("wait".equals(o.kind()) && job.spec.jobClass().equals(o.jobClass()) && now <= start) {
@@ -104,6 +107,11 @@
     if (Double.isInfinite(due)) {
       return WORTH + waited / WORTH_EVERY_S;
     }
+    if (job.atEase) {
+      // The machines that are there will do. By the clock alone, dear ones were rented for a queue
+      // that the others had worked off by the time that they were up.
+      return WORTH_AT_EASE;
+    }
     double toStart = Math.max(1, due - runS - job.arrivedS);
     double pressed = waited / toStart;
     return WORTH_AT_EASE + WORTH_PRESSED * pressed * pressed;
--- a/src/main/java/io/violetrail/scheduling/Dispatcher.java
+++ b/src/main/java/io/violetrail/scheduling/Dispatcher.java
@@ -318,7 +318,8 @@
     tellWaiting();
   }
 
-  private void placed(Machine m) {
+  private void placed(Holding h, Machine m) {
+    headroom.get(h).changed(m);
     given.add(m.id());
   }
 
@@ -365,7 +366,7 @@
         }
       }
       h.place(new Placement(job, i, m, h.newAttempt(), now));
-      placed(m);
+      placed(h, m);
       placed++;
       if (zones) {
         perZone.merge(m.row.zone(), 1, Integer::sum);
@@ -423,7 +424,7 @@
     long attempt = h.newAttempt();
     for (int i = 0; i < plan.size(); i++) {
       h.place(new Placement(job, i, plan.get(i), attempt, now));
-      placed(plan.get(i));
+      placed(h, plan.get(i));
     }
     return all;
   }
--- a/src/main/java/io/violetrail/scheduling/Headroom.java
+++ b/src/main/java/io/violetrail/scheduling/Headroom.java
@@ -71,6 +71,11 @@
         });
   }
 
+  /** Something was placed on the machine. */
+  void changed(Machine m) {
+    kept.forEach(k -> k.count(m));
+  }
+
   /** Whether the job may take room on the machine without what is held for more urgent ones. */
   boolean leaves(JobSpec job, Machine m) {
     for (Kept k : kept) {
--- a/src/main/java/io/violetrail/scheduling/Waiting.java
+++ b/src/main/java/io/violetrail/scheduling/Waiting.java
@@ -61,7 +61,9 @@
         double work = job.unplaced() * run * amount(job.spec.task(), accelerated(job)) / room;
         dues.add(new InTime.Due(job, due, work, run));
       }
-      InTime.order(dues, now).forEach(d -> order.add(d.job()));
+      List<InTime.Due> ordered = InTime.order(dues, now);
+      InTime.foresee(ordered, now);
+      ordered.forEach(d -> order.add(d.job()));
     }
     return order;
   }
--- /dev/null
+++ b/src/test/java/io/violetrail/scheduling/UrgencyTest.java
@@ -0,0 +1,116 @@
+package io.violetrail.scheduling;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.violetrail.config.Settings.Objective;
+import io.violetrail.fleet.Machine;
+import io.violetrail.model.Amounts;
+import io.violetrail.model.ControllerId;
+import io.violetrail.model.JobId;
+import io.violetrail.model.JobSpec;
+import io.violetrail.model.MachineId;
+import io.violetrail.model.MachineType;
+import io.violetrail.model.Priority;
+import io.violetrail.model.Shape;
+import io.violetrail.model.Version;
+import io.violetrail.ownership.Holding;
+import io.violetrail.ownership.Rows.EntityRow;
+import io.violetrail.ownership.Rows.MachineRow;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** What urgent jobs are given before others, and what is left to them. */
+class UrgencyTest {
+  private static final MachineType TYPE =
+      new MachineType("plain", new Amounts(32, 0, 64), 50, 1, 1, 0.3, 30, List.of("a"));
+  private final Holding h =
+      new Holding(new EntityRow(new ControllerId("c0"), new Version(10), true, 1), true, 0);
+  private final Aims aims =
+      new Aims(
+          List.of(
+              new Objective("wait", "urgent", 40, 0.9, 1),
+              new Objective("finished", "urgent", 350, 0.9, 1)),
+          Map.of());
+
+  private static JobSpec spec(int id, Priority priority, double cpus) {
+    return new JobSpec(
+        new JobId("job-" + id),
+        priority == Priority.HIGH ? "urgent" : "plain",
+        "red",
+        Shape.ARRAY,
+        priority,
+        1,
+        new Amounts(cpus, 0, 1),
+        "img",
+        0.1,
+        null,
+        null,
+        false,
+        false,
+        false,
+        100,
+        0,
+        0,
+        null);
+  }
+
+  private void waits(int id, double arrivedS) {
+    JobSpec spec = spec(id, Priority.HIGH, 30);
+    h.jobs.put(spec.id(), new Job(spec, 0, arrivedS, false));
+  }
+
+  private Machine machine(int n) {
+    Machine m =
+        new Machine(
+            new MachineRow(
+                new MachineId("vm-" + n), h.entity(), "plain", "a", false, true, new Version(0), 0),
+            TYPE,
+            new Version(10),
+            0);
+    m.heard = true;
+    h.machines.put(m.id(), m);
+    return m;
+  }
+
+  @Test
+  void whoCanStillStartInTimeGoesBeforeWhoCannot() {
+    // In the order of arrival, a burst made nearly every job of it start late.
+    waits(1, 0);
+    waits(2, 45);
+    waits(3, 20);
+    for (int i = 1; i <= 3; i++) {
+      machine(i);
+    }
+    List<String> order =
+        new Waiting(h, aims, new Estimates())
+            .order(50).stream().map(j -> j.spec.id().value()).toList();
+    assertEquals(List.of("job-3", "job-2", "job-1"), order);
+  }
+
+  @Test
+  void smallTasksLeaveTheRoomOfTheNextUrgentOnes() {
+    Machine first = machine(1);
+    machine(2);
+    machine(3);
+    Headroom headroom = new Headroom(h);
+    JobSpec small = spec(1, Priority.NORMAL, 3);
+    // Five tenths of a task arrive while room is held: one machine of three stays whole.
+    headroom.refresh(Map.of(spec(2, Priority.HIGH, 30), 0.1), 0);
+    int whole = 3;
+    for (Machine m : h.machines.values()) {
+      if (headroom.leaves(small, m)) {
+        h.place(new Placement(new Job(small, 0, 0, false), 0, m, 1, 0));
+        headroom.changed(m);
+        whole--;
+      }
+    }
+    assertEquals(1, whole);
+    assertTrue(headroom.leaves(small, first), "what is in parts already may be filled");
+    assertTrue(headroom.leaves(spec(4, Priority.HIGH, 3), machine(4)), "not for its equals");
+    headroom.refresh(Map.of(spec(2, Priority.HIGH, 30), 10.0), 5);
+    assertFalse(headroom.leaves(small, h.machines.get(new MachineId("vm-3"))));
+  }
+}
