--- /dev/null
+++ b/src/test/java/io/violetrail/stories/FleetTest.java
@@ -0,0 +1,79 @@
+package io.violetrail.stories;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.violetrail.config.Settings.StateLimits;
+import io.violetrail.fakes.FakeWorker;
+import io.violetrail.fakes.User;
+import io.violetrail.fakes.World;
+import io.violetrail.node.Node;
+import io.violetrail.wire.Cbor;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** A thousand machines, and one controller that is left to carry them. */
+class FleetTest {
+  private static final int MACHINES = 1_000;
+  private final World world = new World(3, 11);
+  private final User user = new User(world);
+
+  @AfterEach
+  void noTaskRanTwice() {
+    assertEquals(List.of(), world.broken);
+  }
+
+  private List<String> batches(int jobs, int tasks) {
+    List<String> ids = new ArrayList<>();
+    for (int i = 0; i < jobs; i++) {
+      String id = "job-" + tasks + i;
+      ids.add(id);
+      String to = world.nodes.containsKey(World.name(i % 3)) ? World.name(i % 3) : "c2";
+      world.ask("user", to, "POST", "/work", Cbor.bytes(User.job(id, tasks)));
+    }
+    return ids;
+  }
+
+  private long looked() {
+    return world.nodes.values().stream().mapToLong(n -> n.dispatcher.looked()).sum();
+  }
+
+  @Test
+  void oneOwnerCarriesAThousandMachinesAfterTheOthersEnded() {
+    world.stateLimits = new StateLimits(500, 60, 8192, 24);
+    world.cloud.capacity = MACHINES;
+    world.up();
+    for (int i = 0; i < MACHINES; i++) {
+      world.cloud.given("plain", i % 2 == 0 ? "a" : "b");
+    }
+    world.run(30);
+    List<String> first = batches(6, 1_500);
+    world.run(4);
+    int writesBefore = world.state.writes;
+    world.kill("c0");
+    world.kill("c1");
+    // Every worker hears a valid term within its lease, before all jobs and machines are settled.
+    world.until(30, () -> world.nodes.get("c2").membership.holdings().size() == 3);
+    world.run(20);
+    long lost = world.cloud.workers.values().stream().mapToLong(FakeWorker::sessionsLost).sum();
+    assertEquals(0, lost, "leases lost");
+    Node last = world.nodes.get("c2");
+    assertTrue(
+        last.membership.holdings().stream().allMatch(h -> h.active()), "all entities are served");
+    // A takeover is a move for each entity, and nothing for each machine.
+    int moves = world.state.writes - writesBefore;
+    assertTrue(moves < MACHINES / 4, "writes of the takeover and its progress: " + moves);
+    long before = looked();
+    List<String> second = batches(4, 1_500);
+    for (String id : second) {
+      world.until(200, () -> user.poll("c2", id).equals("done"));
+    }
+    for (String id : first) {
+      world.until(200, () -> user.poll("c2", id).equals("done"));
+    }
+    long perTask = (looked() - before) / (4 * 1_500);
+    assertTrue(perTask < 25, "machines looked at for each task: " + perTask);
+  }
+}
