Reverted: no dear machine for jobs that those there get done in time

Cause: the estimate of when a queue is worked off counts neither fetches nor accelerators that a machine's processors leave unused, so it is too hopeful where those are scarce.

--- a/src/main/java/io/violetrail/fleet/RentPlan.java
+++ b/src/main/java/io/violetrail/fleet/RentPlan.java
@@ -23,9 +23,6 @@
  * the cheapest offers are taken for the rest. A plain decision on what is handed in.
  */
 final class RentPlan {
-  /** So many times the cheapest ordinary price is dear: it is not paid for what comes too late. */
-  private static final double DEAR = 1.4;
-
   private final Collection<MachineType> types;
   private final boolean acceleratorsWanted;
   private final Prices prices;
@@ -262,8 +259,7 @@
           Offer offer = new Offer(t.name(), zone, spot);
           if (!job.spec.allows(t.name(), zone, spot)
               || refused.test(offer)
-              || !prices.worth(job.spec, t, spot, tasks, worth)
-              || comesTooLate(job, t) && !prices.worth(job.spec, t, spot, tasks, DEAR)) {
+              || !prices.worth(job.spec, t, spot, tasks, worth)) {
             continue;
           }
           double cost = perTask(job, offer, tasks);
@@ -277,16 +273,6 @@
     return best;
   }
 
-  /**
-   * Whether the machines that are there have the job done before one of the type could. Dear ones
-   * were rented for a queue, came up when it was gone, and were returned unused.
-   */
-  private static boolean comesTooLate(Job job, MachineType t) {
-    double fetchS = job.spec.imageGb() / t.fetchGbPerS();
-    return job.spec.shape() == Shape.ARRAY
-        && job.doneInS < t.bootS() + fetchS + job.spec.estimateS();
-  }
-
   /**
    * Between 0 and 1: an order of equal offers that lasts a while, so that requests for one gather.
    */
--- a/src/main/java/io/violetrail/scheduling/Aims.java
+++ b/src/main/java/io/violetrail/scheduling/Aims.java
@@ -107,11 +107,6 @@
     if (Double.isInfinite(due)) {
       return WORTH + waited / WORTH_EVERY_S;
     }
-    if (job.atEase) {
-      // The machines that are there will do. By the clock alone, dear ones were rented for a queue
-      // that the others had worked off by the time that they were up.
-      return WORTH_AT_EASE;
-    }
     double toStart = Math.max(1, due - runS - job.arrivedS);
     double pressed = waited / toStart;
     return WORTH_AT_EASE + WORTH_PRESSED * pressed * pressed;
--- a/src/main/java/io/violetrail/scheduling/InTime.java
+++ b/src/main/java/io/violetrail/scheduling/InTime.java
@@ -22,19 +22,6 @@
 
   private InTime() {}
 
-  /**
-   * Notes of each of the jobs, in the order in which they are placed, when the room that is there
-   * has it done, and whether that is in time. What runs there now is taken to be half done.
-   */
-  static void foresee(List<Due> ordered, double now) {
-    double busy = 0;
-    for (Due d : ordered) {
-      busy += d.workS();
-      d.job().doneInS = busy + d.runS() / 2;
-      d.job().atEase = !Double.isInfinite(d.dueS()) && now + d.job().doneInS <= d.dueS();
-    }
-  }
-
   /** The jobs in the order in which they are to be placed. */
   static List<Due> order(List<Due> jobs, double now) {
     List<Due> byDue = new ArrayList<>(jobs);
--- a/src/main/java/io/violetrail/scheduling/Job.java
+++ b/src/main/java/io/violetrail/scheduling/Job.java
@@ -57,12 +57,6 @@
 
   double worthAtS = Double.NEGATIVE_INFINITY;
 
-  /** What waits of it is in time with the machines that are there, as the order saw it last. */
-  boolean atEase;
-
-  /** In how many seconds those machines have it done, after what goes before it. */
-  public double doneInS = Double.POSITIVE_INFINITY;
-
   /** Not before then is room for it made again. */
   public double makeRoomS;
 
--- a/src/main/java/io/violetrail/scheduling/Waiting.java
+++ b/src/main/java/io/violetrail/scheduling/Waiting.java
@@ -61,9 +61,7 @@
         double work = job.unplaced() * run * amount(job.spec.task(), accelerated(job)) / room;
         dues.add(new InTime.Due(job, due, work, run));
       }
-      List<InTime.Due> ordered = InTime.order(dues, now);
-      InTime.foresee(ordered, now);
-      ordered.forEach(d -> order.add(d.job()));
+      InTime.order(dues, now).forEach(d -> order.add(d.job()));
     }
     return order;
   }
