Kubernetes Jobs and Deployments, a stated subset, on the same core

Need: field tools describe work as Kubernetes Jobs and Deployments; they are to run under the same quotas, priorities and records. A Job becomes the users' own message and goes through the one intake (Intake, taken out of UserApi); Job and native job are stored by one transaction. Versions and watches are the state service's. Every object of the schema is closed, so what is not taken is refused by its path.

--- /dev/null
+++ b/src/main/java/io/violetrail/api/Intake.java
@@ -0,0 +1,120 @@
+package io.violetrail.api;
+
+import io.violetrail.config.Settings.Team;
+import io.violetrail.model.JobSpec;
+import io.violetrail.model.MachineType;
+import io.violetrail.model.Shape;
+import io.violetrail.node.Node;
+import io.violetrail.ownership.Holding;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * Takes new jobs into this controller's entity, however they were described. Every interface that
+ * accepts work goes through here, so equal jobs meet equal checks.
+ */
+public final class Intake {
+  private static final int MAX_OPEN_JOBS = 5_000;
+
+  private final Node node;
+
+  public Intake(Node node) {
+    this.node = node;
+  }
+
+  /** What became of a job. */
+  public enum Verdict {
+    /** Stored; it runs from now on. */
+    ACCEPTED,
+    /** Its id was taken before. */
+    KNOWN,
+    /** It can never run, and was never accepted. */
+    IMPOSSIBLE,
+    /** Not now. */
+    LATER,
+    /** The row that was to be stored with it exists already. */
+    CONFLICT
+  }
+
+  /** The verdict with its reason; {@code revision}: of the accepted job, 0 if it is not known. */
+  public record Decision(Verdict verdict, String why, long revision) {
+    static Decision of(Verdict verdict, String why) {
+      return new Decision(verdict, why, 0);
+    }
+  }
+
+  /** Takes the job in, with a row of its own if one is given. */
+  public CompletableFuture<Decision> admit(JobSpec spec, Companion with) {
+    Holding own = node.membership.own();
+    if (own == null || !own.active() || !node.membership.valid()) {
+      return later("this controller cannot take jobs now");
+    }
+    if (node.types().isEmpty()) {
+      return later("the machine types are not known yet");
+    }
+    String never = neverRuns(spec);
+    if (never != null) {
+      return refuse(spec, never);
+    }
+    if (own.jobs.size() >= MAX_OPEN_JOBS || node.store.overloaded(node.jobs.waiting(own))) {
+      // Said at once: who waits in vain for a place in the queue comes back later than who is told.
+      return later("too many jobs at once");
+    }
+    return node.jobs
+        .store(own, spec, with)
+        .handle(
+            (stored, failure) -> {
+              if (failure != null) {
+                return Decision.of(Verdict.LATER, "the job could not be stored");
+              }
+              if (stored.fresh()) {
+                return new Decision(Verdict.ACCEPTED, "", stored.revision());
+              }
+              return stored.companionTaken()
+                  ? Decision.of(Verdict.CONFLICT, "it exists already")
+                  : Decision.of(Verdict.KNOWN, "its id is taken");
+            });
+  }
+
+  private static CompletableFuture<Decision> later(String why) {
+    return CompletableFuture.completedFuture(Decision.of(Verdict.LATER, why));
+  }
+
+  /** A job that was accepted once is never refused, even if a check would now fail. */
+  private CompletableFuture<Decision> refuse(JobSpec spec, String why) {
+    return node.jobs
+        .lookUp(spec.id())
+        .handle(
+            (found, failure) -> {
+              if (failure != null) {
+                return Decision.of(Verdict.LATER, "the state service does not answer");
+              }
+              return found.absent()
+                  ? Decision.of(Verdict.IMPOSSIBLE, why)
+                  : Decision.of(Verdict.KNOWN, "its id is taken");
+            });
+  }
+
+  /** Why a job can never run; null if it can. */
+  public String neverRuns(JobSpec s) {
+    Team team = node.settings.teams().get(s.team());
+    if (team == null) {
+      return "unknown team";
+    }
+    boolean fits = false;
+    for (MachineType t : node.types().values()) {
+      fits |=
+          (s.types() == null || s.types().contains(t.name()))
+              && (s.zone() == null || t.zones().contains(s.zone()))
+              && s.task().fitsIn(t.size());
+    }
+    if (!fits) {
+      return "a task fits no allowed machine type";
+    }
+    double tasks = s.shape() == Shape.ARRAY ? 1 : s.tasks();
+    if (s.task().cpus() * tasks > team.cpusMax() + 1e-6
+        || s.task().gpus() * tasks > team.gpusMax() + 1e-6) {
+      return "the job needs more than the team's limit";
+    }
+    return null;
+  }
+}
--- a/src/main/java/io/violetrail/api/Jobs.java
+++ b/src/main/java/io/violetrail/api/Jobs.java
@@ -66,7 +66,7 @@
    * entity.
    */
   public record Found(JobView view, ControllerId openAt, JobView asStored) {
-    boolean absent() {
+    public boolean absent() {
       return view == null && openAt == null;
     }
   }
@@ -179,20 +179,26 @@
     return new Job(spec, arrivedMs, arrivedS, recovered, node.dispatcher.spareWork(spec));
   }
 
-  /** Stores a new job. True: it is this entity's now. False: the id is taken already. */
-  public CompletableFuture<Boolean> store(Holding h, JobSpec spec) {
+  /**
+   * What storing a job came to. Fresh: it is this entity's now. Otherwise its id is taken, or the
+   * row that was to be stored with it.
+   */
+  public record Stored(boolean fresh, boolean companionTaken, long revision) {}
+
+  /** Stores a new job, with a row of its own if one is given. */
+  public CompletableFuture<Stored> store(Holding h, JobSpec spec, Companion with) {
     long nowMs = node.loop.wallMillis();
     double nowS = node.loop.seconds();
-    CompletableFuture<Boolean> result = new CompletableFuture<>();
+    CompletableFuture<Stored> result = new CompletableFuture<>();
     // An answer that never came leaves the outcome open; it is repeated until certain, so that no
     // job is stored without its owner knowing of it.
     ledger(h)
-        .enter(spec, nowMs)
+        .enter(spec, nowMs, with)
         .whenComplete(
             (stored, failure) -> {
               if (failure != null) {
                 result.completeExceptionally(Unavailable.of(failure));
-              } else if (stored) {
+              } else if (stored.fresh()) {
                 bound.put(spec.id(), h.entity());
                 if (h.active()) {
                   h.jobs.putIfAbsent(spec.id(), job(spec, nowMs, nowS, false));
@@ -205,9 +211,9 @@
                     h.entity(),
                     h.row.version(),
                     spec.tasks());
-                result.complete(true);
+                result.complete(stored);
               } else {
-                result.complete(false);
+                result.complete(stored);
               }
             });
     return result;
--- a/src/main/java/io/violetrail/api/Ledger.java
+++ b/src/main/java/io/violetrail/api/Ledger.java
@@ -51,6 +51,9 @@
   /** Rows that are not claims in one transaction, which keeps it below the protocol's 64 KiB. */
   private static final int MAX_ROWS = 4;
 
+  /** Rows of jobs' own in one transaction, for the same reason. */
+  private static final int MAX_COMPANION_BYTES = 20 * 1024;
+
   private final Node node;
   private final Holding h;
   private final Sheets sheets;
@@ -65,13 +68,20 @@
     final JobSpec spec;
     final long arrivedMs;
     final String end;
+
+    /** A row that begins with the job; null if there is none. */
+    final Companion with;
+
     final CompletableFuture<Boolean> done = new CompletableFuture<>();
+    boolean companionTaken;
+    long revision;
 
-    Edit(JobId id, JobSpec spec, long arrivedMs, String end) {
+    Edit(JobId id, JobSpec spec, long arrivedMs, String end, Companion with) {
       this.id = id;
       this.spec = spec;
       this.arrivedMs = arrivedMs;
       this.end = end;
+      this.with = with;
     }
   }
 
@@ -100,21 +110,21 @@
     return entering.size();
   }
 
-  /** Stores a new job: true once that is done, false if its id was taken before. */
-  CompletableFuture<Boolean> enter(JobSpec spec, long arrivedMs) {
+  /** Stores a new job and the row that begins with it, unless one of them is there already. */
+  CompletableFuture<Jobs.Stored> enter(JobSpec spec, long arrivedMs, Companion with) {
     Edit before = entering.get(spec.id());
     if (before != null) {
-      return before.done.thenApply(stored -> false);
+      return before.done.thenApply(stored -> new Jobs.Stored(false, false, 0));
     }
-    Edit e = new Edit(spec.id(), spec, arrivedMs, null);
+    Edit e = new Edit(spec.id(), spec, arrivedMs, null, with);
     entering.put(e.id, e);
     e.done.whenComplete((stored, failure) -> entering.remove(e.id, e));
-    return add(e);
+    return add(e).thenApply(stored -> new Jobs.Stored(stored, e.companionTaken, e.revision));
   }
 
   /** Stores the end of an open job; fails if the entity has moved. */
   CompletableFuture<Boolean> end(JobId id, Status status, int done) {
-    return add(new Edit(id, null, 0, status.name() + " " + done));
+    return add(new Edit(id, null, 0, status.name() + " " + done, null));
   }
 
   private CompletableFuture<Boolean> add(Edit e) {
@@ -164,6 +174,7 @@
     final Map<Sheet, Map<JobId, Entered>> sheetsTo = new LinkedHashMap<>();
     final Map<Page, Map<JobId, String>> pagesTo = new LinkedHashMap<>();
     private int claims;
+    private int companionBytes;
 
     /**
      * A second's worth of writes at most: machines' records are not to wait for longer than that.
@@ -181,10 +192,13 @@
 
     /** False if the transaction is full. */
     boolean take(Edit e) {
-      if (full()) {
+      int bytes = e.with == null ? 0 : e.with.bytes();
+      boolean tooMuch = companionBytes > 0 && companionBytes + bytes > MAX_COMPANION_BYTES;
+      if (full() || bytes > 0 && tooMuch) {
         return false;
       }
       if (e.spec != null) {
+        companionBytes += bytes;
         enter(e);
       } else {
         Entered job = sheets.open(e.id);
@@ -213,6 +227,10 @@
       claims++;
       txn.when(Rows.job(e.id), 0)
           .set(Rows.job(e.id), Jobs.row(h.entity(), e.spec).put("page", page.name));
+      if (e.with != null) {
+        claims++;
+        txn.when(e.with.key(), 0).set(e.with.key(), e.with.value());
+      }
     }
 
     Txn finish() {
@@ -243,7 +261,11 @@
           });
       entered.values().forEach(sheets::opened);
       left.forEach(sheets::leave);
-      taken.forEach(e -> e.done.complete(true));
+      taken.forEach(
+          e -> {
+            e.revision = revision;
+            e.done.complete(true);
+          });
     }
   }
 
@@ -300,7 +322,8 @@
     }
     List<Edit> again = new ArrayList<>();
     for (Edit e : draft.taken) {
-      if (e.spec != null && outcome.failed().contains(Rows.job(e.id))) {
+      e.companionTaken = e.with != null && outcome.failed().contains(e.with.key());
+      if (e.spec != null && (e.companionTaken || outcome.failed().contains(Rows.job(e.id)))) {
         e.done.complete(false);
       } else {
         again.add(e);
--- a/src/main/java/io/violetrail/api/UserApi.java
+++ b/src/main/java/io/violetrail/api/UserApi.java
@@ -1,13 +1,10 @@
 package io.violetrail.api;
 
-import io.violetrail.config.Settings.Team;
 import io.violetrail.model.ControllerId;
 import io.violetrail.model.JobId;
 import io.violetrail.model.JobSpec;
 import io.violetrail.model.JobView;
 import io.violetrail.model.JobView.Status;
-import io.violetrail.model.MachineType;
-import io.violetrail.model.Shape;
 import io.violetrail.net.Service;
 import io.violetrail.node.Node;
 import io.violetrail.ownership.Holding;
@@ -27,7 +24,6 @@
   private static final Logger LOG = LoggerFactory.getLogger(UserApi.class);
   private static final String WORK = "/work";
   private static final String ABORT = "/abort";
-  private static final int MAX_OPEN_JOBS = 5_000;
   private static final int MAX_BODY = 64 * 1024;
 
   /** Below the 2 s that users wait for a poll, and the 5 s for the rest. */
@@ -131,51 +127,19 @@
       done.accept(Answer.error(400, e.getMessage()));
       return;
     }
-    Holding own = node.membership.own();
-    if (own == null || !own.active() || !node.membership.valid()) {
-      done.accept(Answer.later("this controller cannot take jobs now"));
-      return;
-    }
-    if (node.types().isEmpty()) {
-      done.accept(Answer.later("the machine types are not known yet"));
-      return;
-    }
-    String never = neverRuns(spec);
-    if (never != null) {
-      refuse(spec, never, done);
-      return;
-    }
-    if (own.jobs.size() >= MAX_OPEN_JOBS || node.store.overloaded(jobs.waiting(own))) {
-      // Said at once: who waits in vain for a place in the queue comes back later than who is told.
-      done.accept(Answer.later("too many jobs at once"));
-      return;
-    }
-    jobs.store(own, spec)
-        .whenComplete(
-            (fresh, failure) -> {
-              if (failure != null) {
-                done.accept(Answer.later("the job could not be stored"));
-              } else if (fresh) {
-                done.accept(
-                    Answer.of(
-                        201, JobWire.view(new JobView(spec.id().value(), Status.QUEUED, 0, 0))));
-              } else {
-                answerKnown(spec.id(), done);
-              }
-            });
-  }
-
-  /** A job that was accepted once is never refused, even if a check would now fail. */
-  private void refuse(JobSpec spec, String why, Consumer<Answer> done) {
-    jobs.lookUp(spec.id())
-        .whenComplete(
-            (found, failure) -> {
-              if (failure != null) {
-                done.accept(Answer.later("the state service does not answer"));
-              } else if (found.absent()) {
-                done.accept(Answer.error(422, why));
-              } else {
-                answerKnown(spec.id(), done);
+    node.intake
+        .admit(spec, null)
+        .thenAccept(
+            decision -> {
+              switch (decision.verdict()) {
+                case ACCEPTED ->
+                    done.accept(
+                        Answer.of(
+                            201,
+                            JobWire.view(new JobView(spec.id().value(), Status.QUEUED, 0, 0))));
+                case KNOWN -> answerKnown(spec.id(), done);
+                case IMPOSSIBLE -> done.accept(Answer.error(422, decision.why()));
+                default -> done.accept(Answer.later(decision.why()));
               }
             });
   }
@@ -190,30 +154,6 @@
                         : Answer.of(200, JobWire.view(view))));
   }
 
-  /** Why a job can never run; null if it can. */
-  private String neverRuns(JobSpec s) {
-    Team team = node.settings.teams().get(s.team());
-    if (team == null) {
-      return "unknown team";
-    }
-    boolean fits = false;
-    for (MachineType t : node.types().values()) {
-      fits |=
-          (s.types() == null || s.types().contains(t.name()))
-              && (s.zone() == null || t.zones().contains(s.zone()))
-              && s.task().fitsIn(t.size());
-    }
-    if (!fits) {
-      return "a task fits no allowed machine type";
-    }
-    double tasks = s.shape() == Shape.ARRAY ? 1 : s.tasks();
-    if (s.task().cpus() * tasks > team.cpusMax() + 1e-6
-        || s.task().gpus() * tasks > team.gpusMax() + 1e-6) {
-      return "the job needs more than the team's limit";
-    }
-    return null;
-  }
-
   private void poll(String text, Consumer<Answer> done) {
     if (!JobId.wellFormed(text)) {
       done.accept(Answer.empty(404));
--- /dev/null
+++ b/src/main/java/io/violetrail/cli/KubernetesCommand.java
@@ -0,0 +1,177 @@
+package io.violetrail.cli;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.dataformat.yaml.YAMLFactory;
+import io.violetrail.kubernetes.Kind;
+import io.violetrail.kubernetes.Schema;
+import io.violetrail.kubernetes.Schema.Field;
+import io.violetrail.kubernetes.Translation;
+import io.violetrail.wire.kubernetes.KubeJson;
+import io.violetrail.wire.kubernetes.Refusal;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** What can be said of manifests without a controller. */
+@Command(
+    name = "kubernetes",
+    mixinStandardHelpOptions = true,
+    subcommands = {KubernetesCommand.Check.class, KubernetesCommand.Explain.class},
+    description = "Says what of the Kubernetes API is taken.",
+    synopsisSubcommandLabel = "COMMAND")
+final class KubernetesCommand implements Callable<Integer> {
+  /** Something would be refused. */
+  private static final int REFUSED = 1;
+
+  private static final int BAD_USAGE = 2;
+
+  @Spec private CommandSpec spec;
+
+  @Override
+  public Integer call() {
+    spec.commandLine().usage(spec.commandLine().getErr());
+    return BAD_USAGE;
+  }
+
+  /** Reads YAML or JSON, several documents too, and says what would become of each. */
+  @Command(
+      name = "check",
+      mixinStandardHelpOptions = true,
+      description = {
+        "Says for each manifest in FILE (YAML or JSON) the native job that it means, or each field",
+        "that is refused. Exit status: 0 all would be taken, 1 some not, 2 FILE cannot be read."
+      })
+  static final class Check implements Callable<Integer> {
+    @Parameters(paramLabel = "FILE")
+    private Path file;
+
+    @Option(
+        names = "--namespace",
+        description = "the team to submit for; default: each manifest's own, or 'default'")
+    private String namespace;
+
+    @Spec private CommandSpec spec;
+
+    private final Translation translation = new Translation(new Schema());
+
+    @Override
+    public Integer call() {
+      PrintWriter out = spec.commandLine().getOut();
+      PrintWriter err = spec.commandLine().getErr();
+      int documents = 0;
+      int refused = 0;
+      YAMLFactory yaml =
+          YAMLFactory.builder().enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION).build();
+      try (JsonParser parser = yaml.createParser(Files.readAllBytes(file))) {
+        while (parser.nextToken() != null) {
+          JsonNode document = KubeJson.next(parser);
+          String at = file + " document " + ++documents;
+          List<Refusal> no = judge(document, at, out);
+          for (Refusal r : no) {
+            out.println(at + ": refused: " + (r.path().isEmpty() ? "" : r.path() + ": ") + r.why());
+          }
+          refused += no.isEmpty() ? 0 : 1;
+        }
+      } catch (KubeJson.Malformed e) {
+        out.println(
+            file
+                + " document "
+                + (documents + 1)
+                + ": refused: "
+                + (e.path().isEmpty() ? "" : e.path() + ": ")
+                + e.getMessage());
+        return REFUSED;
+      } catch (IOException e) {
+        err.println("violetrail kubernetes check: " + file + " cannot be read: " + e.getMessage());
+        return BAD_USAGE;
+      }
+      if (documents == 0) {
+        err.println("violetrail kubernetes check: " + file + " holds no manifest");
+        return BAD_USAGE;
+      }
+      return refused > 0 ? REFUSED : 0;
+    }
+
+    private List<Refusal> judge(JsonNode document, String at, PrintWriter out) {
+      if (!(document instanceof ObjectNode manifest)) {
+        return List.of(new Refusal("", Refusal.Cause.TYPE, "the document is not an object"));
+      }
+      Kind kind =
+          Kind.ofManifest(manifest.path("apiVersion").asText(), manifest.path("kind").asText());
+      if (kind == null) {
+        return List.of(
+            new Refusal(
+                "kind",
+                Refusal.Cause.NOT_SUPPORTED,
+                "only batch/v1 Job and apps/v1 Deployment are taken"));
+      }
+      String team =
+          namespace != null
+              ? namespace
+              : manifest.path("metadata").path("namespace").asText("default");
+      List<Refusal> no = translation.check(kind, manifest, team);
+      if (no.isEmpty()) {
+        ObjectNode message = translation.nativeMessage(kind, manifest, team);
+        message.remove("name_id");
+        out.println(at + ": taken, as " + (kind == Kind.JOB ? "" : "replicas of ") + message);
+      }
+      return no;
+    }
+  }
+
+  /** The table of fields, the same that requests are checked against. */
+  @Command(
+      name = "explain",
+      mixinStandardHelpOptions = true,
+      description = {
+        "Says what a field means or why it is refused, and all fields below it.",
+        "Exit status: 0 known, 1 no such field."
+      })
+  static final class Explain implements Callable<Integer> {
+    @Parameters(
+        paramLabel = "FIELD",
+        arity = "0..1",
+        defaultValue = "",
+        description = "such as spec.template.spec; default: all")
+    private String field;
+
+    @Option(names = "--kind", defaultValue = "Job", description = "Job or Deployment")
+    private String kind;
+
+    @Spec private CommandSpec spec;
+
+    @Override
+    public Integer call() {
+      PrintWriter out = spec.commandLine().getOut();
+      Schema schema = new Schema();
+      int found = 0;
+      for (Kind k : Kind.values()) {
+        if (!k.published().equals(kind)) {
+          continue;
+        }
+        for (Field f : schema.fields(k)) {
+          if (f.path().equals(field) || f.path().startsWith(field)) {
+            found++;
+            out.println(f.path() + (f.taken() ? ": " : ": refused: ") + f.means());
+          }
+        }
+      }
+      if (found == 0) {
+        spec.commandLine().getErr().println("violetrail kubernetes explain: no such field");
+        return REFUSED;
+      }
+      return 0;
+    }
+  }
+}
--- a/src/main/java/io/violetrail/cli/Main.java
+++ b/src/main/java/io/violetrail/cli/Main.java
@@ -3,6 +3,9 @@
 import io.undertow.server.DefaultByteBufferPool;
 import io.violetrail.config.Options;
 import io.violetrail.config.Settings;
+import io.violetrail.config.Settings.HostPort;
+import io.violetrail.kubernetes.Kubernetes;
+import io.violetrail.kubernetes.Listener;
 import io.violetrail.net.Http;
 import io.violetrail.net.Loop;
 import io.violetrail.net.Service;
@@ -12,6 +15,7 @@
 import io.violetrail.node.Node;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.Arrays;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Random;
@@ -64,6 +68,15 @@
           "machines compared for each task (VIOLETRAIL_SAMPLE); default: ${DEFAULT-VALUE}")
   private int sample;
 
+  @Option(
+      names = "--kubernetes-port",
+      paramLabel = "PORT",
+      defaultValue = "${env:VIOLETRAIL_KUBERNETES_PORT}",
+      description =
+          "serves a subset of the Kubernetes API there, at the API's address"
+              + " (VIOLETRAIL_KUBERNETES_PORT); default: not at all")
+  private Integer kubernetesPort;
+
   @Option(
       names = "--rehearse",
       hidden = true,
@@ -81,7 +94,11 @@
 
   public static void main(String[] args) {
     logging();
-    int status = new CommandLine(new Main()).execute(args);
+    // Only a command line that names it loads that command's classes: a start is outage time.
+    boolean offline = args.length > 0 && args[0].equals("kubernetes");
+    int status =
+        new CommandLine(offline ? new KubernetesCommand() : new Main())
+            .execute(offline ? Arrays.copyOfRange(args, 1, args.length) : args);
     if (status != 0) {
       System.exit(status);
     }
@@ -118,12 +135,15 @@
         throw new Settings.Invalid(
             "--sample must be at least 1, --idle-s at least 0 and --lapse-s at least 1");
       }
+      if (kubernetesPort != null && (kubernetesPort < 1 || kubernetesPort > 65_535)) {
+        throw new Settings.Invalid("--kubernetes-port must be 1 to 65535");
+      }
       settings = Settings.load(config);
     } catch (Settings.Invalid e) {
       System.err.println("violetrail: " + e.getMessage());
       return BAD_USAGE;
     }
-    start(settings, new Options(lapseS, idleS, sample), null);
+    start(settings, new Options(lapseS, idleS, sample, kubernetesPort), null);
     return 0;
   }
 
@@ -160,6 +180,16 @@
           node.start();
           UndertowServer.start(settings.api(), node.api, loop, worker, buffers);
           UndertowServer.start(settings.listen(), node.peerService(), loop, worker, buffers);
+          if (options.kubernetesPort() != null) {
+            Kubernetes kubernetes = new Kubernetes(node, http, options.kubernetesPort());
+            kubernetes.start();
+            Listener.start(
+                new HostPort(settings.api().host(), options.kubernetesPort()),
+                kubernetes.api(),
+                loop,
+                worker,
+                buffers);
+          }
           LoggerFactory.getLogger(Main.class)
               .info("{} serves at {}", settings.self(), settings.api());
         });
--- a/src/main/java/io/violetrail/config/Options.java
+++ b/src/main/java/io/violetrail/config/Options.java
@@ -1,6 +1,6 @@
 package io.violetrail.config;
 
 /** Operators' own settings; null or the default unless set by a flag or variable. */
-public record Options(Double lapseS, double idleS, int sample) {
-  public static final Options DEFAULTS = new Options(null, 45, 8);
+public record Options(Double lapseS, double idleS, int sample, Integer kubernetesPort) {
+  public static final Options DEFAULTS = new Options(null, 45, 8, null);
 }
--- /dev/null
+++ b/src/main/java/io/violetrail/kubernetes/Objects.java
@@ -0,0 +1,494 @@
+package io.violetrail.kubernetes;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.violetrail.api.Companion;
+import io.violetrail.api.Intake.Verdict;
+import io.violetrail.model.JobId;
+import io.violetrail.model.JobSpec;
+import io.violetrail.node.Node;
+import io.violetrail.ownership.Holding;
+import io.violetrail.state.StateStore.Unavailable;
+import io.violetrail.wire.Cbor;
+import io.violetrail.wire.StateWire.Txn;
+import io.violetrail.wire.kubernetes.KubeStatus;
+import io.violetrail.wire.kubernetes.Refusal;
+import io.violetrail.wire.kubernetes.Refusal.Cause;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Set;
+import java.util.UUID;
+import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
+
+/**
+ * Creates, reads, changes and deletes kept objects. Every controller does so for all of them, by
+ * transactions conditional on the object's own row; what follows from a change is its owner's work.
+ */
+final class Objects {
+  /** Objects of a kind in one namespace. */
+  static final int MOST_OBJECTS = 500;
+
+  /** Changes without a version are tried this often against others'. */
+  private static final int TRIES = 5;
+
+  private static final Set<String> POLICIES = Set.of("Background", "Foreground");
+  private static final Set<String> DELETE_FIELDS =
+      Set.of("kind", "apiVersion", "propagationPolicy", "preconditions");
+
+  private final Node node;
+  private final Translation translation;
+  private final Feed feed;
+
+  Objects(Node node, Translation translation, Feed feed) {
+    this.node = node;
+    this.translation = translation;
+    this.feed = feed;
+  }
+
+  private static String named(Kind kind, String name) {
+    return kind.resource() + " \"" + name + "\"";
+  }
+
+  void create(Kind kind, String namespace, ObjectNode manifest, Exchange to) {
+    List<Refusal> no = translation.check(kind, manifest, namespace);
+    String given = manifest.path("metadata").path("name").asText("");
+    if (!no.isEmpty()) {
+      to.answer(KubeStatus.refused(named(kind, given), no));
+      return;
+    }
+    if (manifest.path("metadata").has("resourceVersion")) {
+      to.answer(KubeStatus.badRequest("resourceVersion must not be set on objects to be created"));
+      return;
+    }
+    Holding own = node.membership.own();
+    if (!feed.ready() || own == null || !own.active() || !node.membership.valid()) {
+      to.answer(KubeStatus.unavailable("this controller cannot take objects now"));
+      return;
+    }
+    if (feed.count(kind, namespace) >= MOST_OBJECTS) {
+      to.answer(KubeStatus.tooMany("the namespace holds " + MOST_OBJECTS + " " + kind.plural()));
+      return;
+    }
+    KubeObject object = fresh(kind, namespace, given, manifest, own);
+    int bytes = Cbor.bytes(object.value()).length;
+    if (bytes > node.settings.stateLimits().valueBytes() / 2) {
+      to.answer(KubeStatus.tooLarge("the object is too long to be kept"));
+      return;
+    }
+    JobId id = KubeObject.nativeId(object.uid(), 1);
+    JobSpec spec = translation.spec(object, id.value());
+    String never = node.intake.neverRuns(spec);
+    if (never != null) {
+      to.answer(impossible(object, never));
+    } else if (kind == Kind.JOB && !object.spec().path("suspend").asBoolean()) {
+      withJob(object, spec, bytes, to);
+    } else {
+      alone(object, own, to);
+    }
+  }
+
+  private static KubeStatus impossible(KubeObject object, String why) {
+    return KubeStatus.refused(
+        named(object.kind(), object.name()),
+        List.of(new Refusal("spec.template.spec", Cause.INVALID, "it can never run: " + why)));
+  }
+
+  /** A repeated creation that names its request makes the very same object once more. */
+  private KubeObject fresh(
+      Kind kind, String namespace, String given, ObjectNode manifest, Holding own) {
+    JsonNode meta = manifest.path("metadata");
+    String request = meta.path("annotations").path(KubeObject.REQUEST_ID).asText("");
+    String begins = meta.path("generateName").asText("");
+    UUID uid =
+        request.isEmpty()
+            ? new UUID(node.random.nextLong(), node.random.nextLong())
+            : UUID.nameUUIDFromBytes(
+                (kind + "/" + namespace + "/" + begins + given + "/" + request)
+                    .getBytes(StandardCharsets.UTF_8));
+    String name =
+        given.isEmpty() ? begins + KubeObject.hash(uid.toString()).substring(0, 7) : given;
+    KubeObject object =
+        KubeObject.fresh(
+            kind, namespace, name, manifest, own.entity(), uid.toString(), node.loop.wallMillis());
+    if (kind == Kind.JOB) {
+      KubeObject.addPart(object.value(), 1, "");
+    }
+    return object;
+  }
+
+  /** The Job and its native job are stored by one transaction, through the one intake. */
+  private void withJob(KubeObject object, JobSpec spec, int bytes, Exchange to) {
+    node.intake
+        .admit(spec, new Companion(object.key(), object.value(), bytes))
+        .thenAccept(
+            decision -> {
+              if (decision.verdict() == Verdict.ACCEPTED && decision.revision() > 0) {
+                to.answer(201, object.at(decision.revision()).json(), 0);
+              } else if (decision.verdict() == Verdict.IMPOSSIBLE) {
+                to.answer(impossible(object, decision.why()));
+              } else if (decision.verdict() == Verdict.LATER) {
+                to.answer(KubeStatus.unavailable(decision.why()));
+              } else {
+                answerExisting(object, decision.verdict() == Verdict.ACCEPTED ? 201 : 200, to);
+              }
+            });
+  }
+
+  private void alone(KubeObject object, Holding own, Exchange to) {
+    node.store
+        .settle(own.fenced().when(object.key(), 0).set(object.key(), object.value()))
+        .whenComplete(
+            (outcome, failure) -> {
+              if (failure != null) {
+                to.answer(unclear(failure));
+              } else if (outcome.applied()) {
+                to.answer(201, object.at(outcome.revision()).json(), 0);
+              } else if (outcome.failed().contains(object.key())) {
+                // Another's, or an earlier try of this very write has got through.
+                answerExisting(object, 201, to);
+              } else {
+                to.answer(KubeStatus.unavailable("the entity has moved"));
+              }
+            });
+  }
+
+  private void answerExisting(KubeObject object, int code, Exchange to) {
+    read(
+        object.kind(),
+        object.namespace(),
+        object.name(),
+        to,
+        found -> {
+          if (found != null && found.uid().equals(object.uid())) {
+            to.answer(code, found.json(), 0);
+          } else {
+            to.answer(KubeStatus.exists(named(object.kind(), object.name())));
+          }
+        });
+  }
+
+  private static KubeStatus unclear(Throwable failure) {
+    Unavailable u = Unavailable.of(failure);
+    return u.status() == 429
+        ? KubeStatus.tooMany("too many requests at once")
+        : KubeStatus.unavailable("the state service does not answer");
+  }
+
+  /** A fresh read, whoever owns the object: no answer is older than one given before. */
+  void read(Kind kind, String namespace, String name, Exchange to, Consumer<KubeObject> then) {
+    String key = KubeObject.rows(kind, namespace) + name;
+    node.store
+        .getForUser(key)
+        .whenComplete(
+            (entry, failure) -> {
+              if (failure != null) {
+                to.answer(unclear(failure));
+              } else {
+                then.accept(
+                    entry.value() == null
+                        ? null
+                        : KubeObject.of(key, entry.value(), entry.stamp()));
+              }
+            });
+  }
+
+  void get(Kind kind, String namespace, String name, Exchange to) {
+    read(
+        kind,
+        namespace,
+        name,
+        to,
+        found -> {
+          if (found == null) {
+            to.answer(KubeStatus.notFound(named(kind, name)));
+          } else {
+            to.answer(200, found.json(), 0);
+          }
+        });
+  }
+
+  /** A page of objects; {@code continue} names the last one looked at. */
+  void list(Kind kind, String namespace, Query query, Exchange to) {
+    String prefix = KubeObject.rows(kind, namespace);
+    if (!query.after().isEmpty() && !query.after().startsWith(prefix)) {
+      to.answer(KubeStatus.badRequest("continue: is not a token of this listing"));
+      return;
+    }
+    node.store
+        .pageForUser(prefix, query.after(), query.limit())
+        .whenComplete(
+            (page, failure) -> {
+              if (failure != null) {
+                to.answer(unclear(failure));
+                return;
+              }
+              ObjectNode m = Cbor.map().put("kind", kind.published() + "List");
+              m.put("apiVersion", kind.apiVersion());
+              ObjectNode meta = m.putObject("metadata");
+              meta.put("resourceVersion", String.valueOf(page.revision()));
+              if (page.more() && !page.entries().isEmpty()) {
+                String last = page.entries().get(page.entries().size() - 1).key();
+                meta.put("continue", Query.token(last));
+              }
+              var items = m.putArray("items");
+              page.entries().stream()
+                  .map(e -> KubeObject.of(e.key(), e.value(), e.stamp()))
+                  .filter(query.in(namespace))
+                  .forEach(o -> items.add(o.json()));
+              to.answer(200, m, 0);
+            });
+  }
+
+  /** All objects there are now with their revision, for a watch that begins with them. */
+  void all(
+      Kind kind,
+      String namespace,
+      Exchange to,
+      Consumer<List<KubeObject>> then,
+      Consumer<Long> revision) {
+    String prefix = KubeObject.rows(kind, namespace);
+    node.store
+        .pageForUser(prefix, "", 2 * MOST_OBJECTS)
+        .whenComplete(
+            (page, failure) -> {
+              if (failure != null) {
+                to.answer(unclear(failure));
+              } else if (page.more()) {
+                to.answer(KubeStatus.tooMany("too many objects: list them in pages first"));
+              } else {
+                revision.accept(page.revision());
+                then.accept(
+                    page.entries().stream()
+                        .map(e -> KubeObject.of(e.key(), e.value(), e.stamp()))
+                        .toList());
+              }
+            });
+  }
+
+  /** Replaces what may change of an object. */
+  void replace(Kind kind, String namespace, String name, ObjectNode manifest, Exchange to) {
+    List<Refusal> no = translation.check(kind, manifest, namespace);
+    if (no.isEmpty() && !manifest.path("metadata").path("name").asText().equals(name)) {
+      no.add(new Refusal("metadata.name", Cause.INVALID, "is not the name in the request's path"));
+    }
+    if (!no.isEmpty()) {
+      to.answer(KubeStatus.refused(named(kind, name), no));
+      return;
+    }
+    JsonNode meta = manifest.path("metadata");
+    ObjectNode spec = Translation.withDefaults(kind, (ObjectNode) manifest.get("spec"));
+    change(
+        kind,
+        namespace,
+        name,
+        meta.path("uid").asText(""),
+        meta.path("resourceVersion").asText(""),
+        to,
+        found -> Updates.replaced(found, meta, spec, node.loop.wallMillis()));
+  }
+
+  void scale(Kind kind, String namespace, String name, ObjectNode scale, Exchange to) {
+    JsonNode replicas = scale.path("spec").path("replicas");
+    JsonNode meta = scale.path("metadata");
+    List<Refusal> no = Updates.scaleRefusals(scale, name, namespace);
+    if (!no.isEmpty()) {
+      to.answer(KubeStatus.refused("scale of " + named(kind, name), no));
+      return;
+    }
+    change(
+        kind,
+        namespace,
+        name,
+        meta.path("uid").asText(""),
+        meta.path("resourceVersion").asText(""),
+        new Answering(to, Updates::scaleOf),
+        found -> Updates.scaled(found, replicas.asInt()));
+  }
+
+  /** Gives answers about an object another form. */
+  private record Answering(Exchange to, UnaryOperator<ObjectNode> form) implements Exchange {
+    @Override
+    public void answer(int code, ObjectNode body, int againS) {
+      to.answer(code, code < 300 ? form.apply(body) : body, againS);
+    }
+
+    @Override
+    public Stream stream(Runnable closed) {
+      return to.stream(closed);
+    }
+  }
+
+  void getScale(Kind kind, String namespace, String name, Exchange to) {
+    get(kind, namespace, name, new Answering(to, Updates::scaleOf));
+  }
+
+  private void change(
+      Kind kind,
+      String namespace,
+      String name,
+      String uid,
+      String version,
+      Exchange to,
+      Updates.Change change) {
+    tryChange(kind, namespace, name, uid, version, to, change, TRIES, null);
+  }
+
+  private void tryChange(
+      Kind kind,
+      String namespace,
+      String name,
+      String uid,
+      String version,
+      Exchange to,
+      Updates.Change change,
+      int tries,
+      KubeObject sent) {
+    read(
+        kind,
+        namespace,
+        name,
+        to,
+        found -> {
+          if (found == null) {
+            to.answer(KubeStatus.notFound(named(kind, name)));
+            return;
+          }
+          if (sent != null && found.value().equals(sent.value())) {
+            // An earlier try of the same write got through, though its answer was lost.
+            to.answer(200, found.json(), 0);
+            return;
+          }
+          boolean same = uid.isEmpty() || uid.equals(found.uid());
+          boolean current = version.isEmpty() || version.equals(String.valueOf(found.stamp()));
+          if (!same || !current || tries == 0) {
+            to.answer(KubeStatus.conflict(named(kind, name)));
+            return;
+          }
+          Updates.Result result = change.of(found);
+          if (!result.refused().isEmpty()) {
+            to.answer(KubeStatus.refused(named(kind, name), result.refused()));
+            return;
+          }
+          KubeObject next = result.next();
+          if (next == found) {
+            to.answer(200, found.json(), 0);
+            return;
+          }
+          if (Cbor.bytes(next.value()).length > node.settings.stateLimits().valueBytes() * 3 / 4) {
+            to.answer(KubeStatus.tooLarge("the object is too long to be kept"));
+            return;
+          }
+          String never =
+              node.intake.neverRuns(
+                  translation.spec(next, KubeObject.nativeId(next.uid(), 1).value()));
+          if (never != null) {
+            to.answer(impossible(next, never));
+            return;
+          }
+          node.store
+              .settle(new Txn().when(found.key(), found.stamp()).set(found.key(), next.value()))
+              .whenComplete(
+                  (outcome, failure) -> {
+                    if (failure != null) {
+                      to.answer(unclear(failure));
+                    } else if (outcome.applied()) {
+                      to.answer(200, next.at(outcome.revision()).json(), 0);
+                    } else {
+                      tryChange(kind, namespace, name, uid, version, to, change, tries - 1, next);
+                    }
+                  });
+        });
+  }
+
+  /**
+   * Deletes an object. In the background it is gone at once, and a row of its own says to its
+   * owner, or whoever takes the entity over, which tasks are to end; in the foreground it stays
+   * until they have.
+   */
+  void delete(
+      Kind kind, String namespace, String name, ObjectNode options, String policy, Exchange to) {
+    for (var fields = options.fieldNames(); fields.hasNext(); ) {
+      String field = fields.next();
+      if (!DELETE_FIELDS.contains(field)) {
+        to.answer(
+            KubeStatus.refused(
+                "DeleteOptions",
+                List.of(new Refusal(field, Cause.NOT_SUPPORTED, "the field is not supported"))));
+        return;
+      }
+    }
+    String asked = options.path("propagationPolicy").asText(policy);
+    if (!POLICIES.contains(asked)) {
+      to.answer(
+          KubeStatus.refused(
+              "DeleteOptions",
+              List.of(
+                  new Refusal(
+                      "propagationPolicy",
+                      Cause.NOT_SUPPORTED,
+                      "must be Background or Foreground: tasks do not outlive their object"))));
+      return;
+    }
+    tryDelete(kind, namespace, name, options.path("preconditions"), asked, to, TRIES);
+  }
+
+  private void tryDelete(
+      Kind kind,
+      String namespace,
+      String name,
+      JsonNode preconditions,
+      String policy,
+      Exchange to,
+      int tries) {
+    read(
+        kind,
+        namespace,
+        name,
+        to,
+        found -> {
+          if (found == null && tries < TRIES) {
+            // Conditional on a state that is gone: an earlier try of ours, or somebody else's.
+            to.answer(200, KubeStatus.success(kind.plural(), name, ""), 0);
+            return;
+          }
+          if (found == null) {
+            to.answer(KubeStatus.notFound(named(kind, name)));
+            return;
+          }
+          boolean same = preconditions.path("uid").asText(found.uid()).equals(found.uid());
+          String stamp = String.valueOf(found.stamp());
+          boolean current = preconditions.path("resourceVersion").asText(stamp).equals(stamp);
+          if (!same || !current || tries == 0) {
+            to.answer(KubeStatus.conflict(named(kind, name)));
+            return;
+          }
+          long now = node.loop.wallMillis();
+          Txn txn = new Txn().when(found.key(), found.stamp());
+          KubeObject marked = found.with(v -> v.put("deleting", now));
+          boolean background = policy.equals("Background");
+          if (background) {
+            txn.drop(found.key()).set(found.goneKey(), found.gone(now));
+          } else if (found.deleting()) {
+            to.answer(200, found.json(), 0);
+            return;
+          } else {
+            txn.set(found.key(), marked.value());
+          }
+          node.store
+              .settle(txn)
+              .whenComplete(
+                  (outcome, failure) -> {
+                    if (failure != null) {
+                      to.answer(unclear(failure));
+                    } else if (!outcome.applied()) {
+                      tryDelete(kind, namespace, name, preconditions, policy, to, tries - 1);
+                    } else if (background) {
+                      to.answer(200, KubeStatus.success(kind.plural(), name, found.uid()), 0);
+                    } else {
+                      to.answer(200, marked.at(outcome.revision()).json(), 0);
+                    }
+                  });
+        });
+  }
+}
--- a/src/main/java/io/violetrail/node/Node.java
+++ b/src/main/java/io/violetrail/node/Node.java
@@ -1,5 +1,6 @@
 package io.violetrail.node;
 
+import io.violetrail.api.Intake;
 import io.violetrail.api.Jobs;
 import io.violetrail.api.UserApi;
 import io.violetrail.cloud.CloudClient;
@@ -55,6 +56,7 @@
   public final Directory directory;
   public final Membership membership;
   public final Jobs jobs;
+  public final Intake intake;
   public final Dispatcher dispatcher;
   public final Fleet fleet;
   public final UserApi api;
@@ -81,6 +83,7 @@
     this.directory = new Directory(settings);
     this.membership = new Membership(settings, loop, store, directory, timing, this);
     this.jobs = new Jobs(this);
+    this.intake = new Intake(this);
     this.halts = new Halts(this, http);
     this.dispatcher = new Dispatcher(this);
     this.peers = new Peers(this, http);
--- a/src/main/java/io/violetrail/scheduling/Dispatcher.java
+++ b/src/main/java/io/violetrail/scheduling/Dispatcher.java
@@ -184,6 +184,7 @@
         double ran = p.runningS > 0 ? now - p.runningS : 0;
         LOG.info(
             "task {}/{} failed on {} after {} s", job.spec.id(), index, m.id(), Math.round(ran));
+        job.errors++;
         Blame.failed(m, job, ran, now);
         job.notBefore.put(index, (Double) job.trial.againS());
       }
--- a/src/main/java/io/violetrail/scheduling/Job.java
+++ b/src/main/java/io/violetrail/scheduling/Job.java
@@ -57,6 +57,9 @@
 
   double worthAtS = Double.NEGATIVE_INFINITY;
 
+  /** Failures of its own tasks, for whoever counts them. */
+  public int errors;
+
   /** Not before then is room for it made again. */
   public double makeRoomS;
 
--- a/src/main/java/io/violetrail/state/StateStore.java
+++ b/src/main/java/io/violetrail/state/StateStore.java
@@ -137,6 +137,26 @@
     return asked.take(1, loop.seconds()) ? get(key) : busy();
   }
 
+  /** Some keys of a prefix with the revision they are as of; {@code more}: others come after. */
+  public record Page(List<Entry> entries, long revision, boolean more) {}
+
+  /** A page of keys after a key (empty: from the first on) for whoever asks, within that part. */
+  public CompletableFuture<Page> pageForUser(String prefix, String after, int most) {
+    if (!asked.take(1, loop.seconds()) || !requests.take(1, loop.seconds())) {
+      return busy();
+    }
+    return call("GET", pagePath(prefix, after, most), null, TIMEOUT_S)
+        .thenApply(
+            r -> {
+              ObjectNode m = body(r);
+              return new Page(StateWire.entries(m), StateWire.revision(m), StateWire.more(m));
+            });
+  }
+
+  private static String pagePath(String prefix, String after, int most) {
+    return "/keys?under=" + prefix + "&most=" + most + (after.isEmpty() ? "" : "&after=" + after);
+  }
+
   public CompletableFuture<Listing> list(String prefix) {
     CompletableFuture<Listing> done = new CompletableFuture<>();
     page(prefix, "", new ArrayList<>(), done);
@@ -145,9 +165,7 @@
 
   private void page(String prefix, String after, List<Entry> all, CompletableFuture<Listing> done) {
     requests.force(1, loop.seconds());
-    String path =
-        "/keys?under=" + prefix + "&most=" + PAGE + (after.isEmpty() ? "" : "&after=" + after);
-    call("GET", path, null, TIMEOUT_S * 2)
+    call("GET", pagePath(prefix, after, PAGE), null, TIMEOUT_S * 2)
         .whenComplete(
             (r, failure) -> {
               if (failure != null || !r.ok()) {
--- /dev/null
+++ b/src/main/java/io/violetrail/wire/kubernetes/Quantity.java
@@ -0,0 +1,52 @@
+package io.violetrail.wire.kubernetes;
+
+import java.math.BigDecimal;
+import java.util.Map;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** Amounts and durations as texts, read strictly: empty where the text is not one. */
+public final class Quantity {
+  private static final Pattern AMOUNT =
+      Pattern.compile("([0-9]{1,18}(?:\\.[0-9]{1,9})?)(|m|k|M|G|T|Ki|Mi|Gi|Ti|[eE][0-9]{1,2})");
+  private static final Map<String, BigDecimal> FACTORS =
+      Map.of(
+          "", BigDecimal.ONE,
+          "m", new BigDecimal("0.001"),
+          "k", new BigDecimal("1e3"),
+          "M", new BigDecimal("1e6"),
+          "G", new BigDecimal("1e9"),
+          "T", new BigDecimal("1e12"),
+          "Ki", new BigDecimal(1L << 10),
+          "Mi", new BigDecimal(1L << 20),
+          "Gi", new BigDecimal(1L << 30),
+          "Ti", new BigDecimal(1L << 40));
+
+  private static final Pattern DURATION = Pattern.compile("([0-9]{1,9}(?:\\.[0-9]{1,3})?)(s|m|h)");
+  private static final Map<String, Double> SECONDS = Map.of("s", 1.0, "m", 60.0, "h", 3600.0);
+
+  private Quantity() {}
+
+  /** A quantity such as {@code 500m}, {@code 2} or {@code 1.5Gi}, in units. */
+  public static Optional<BigDecimal> amount(String text) {
+    Matcher m = AMOUNT.matcher(text);
+    if (!m.matches()) {
+      return Optional.empty();
+    }
+    String suffix = m.group(2);
+    BigDecimal number = new BigDecimal(m.group(1));
+    if (suffix.startsWith("e") || suffix.startsWith("E")) {
+      return Optional.of(number.scaleByPowerOfTen(Integer.parseInt(suffix.substring(1))));
+    }
+    return Optional.of(number.multiply(FACTORS.get(suffix)));
+  }
+
+  /** A duration such as {@code 90s}, {@code 1.5m} or {@code 2h}, in seconds. */
+  public static Optional<Double> seconds(String text) {
+    Matcher m = DURATION.matcher(text);
+    return m.matches()
+        ? Optional.of(Double.parseDouble(m.group(1)) * SECONDS.get(m.group(2)))
+        : Optional.empty();
+  }
+}
--- a/src/test/java/io/violetrail/fakes/FakeWorker.java
+++ b/src/test/java/io/violetrail/fakes/FakeWorker.java
@@ -213,6 +213,7 @@
         n.ends = world.now() + runs.getOrDefault(task, runS);
         pieces.put(task, n);
         launches++;
+        world.launches.add("%.3f %s %s".formatted(world.now(), task, id));
       }
       case "halt" -> {
         boolean same = p != null && p.attempt == order.get("try").asLong();
--- a/src/test/java/io/violetrail/fakes/World.java
+++ b/src/test/java/io/violetrail/fakes/World.java
@@ -9,6 +9,8 @@
 import io.violetrail.config.Settings.StateLimits;
 import io.violetrail.config.Settings.Team;
 import io.violetrail.config.Settings.Workers;
+import io.violetrail.kubernetes.Kubernetes;
+import io.violetrail.kubernetes.KubernetesApi;
 import io.violetrail.model.ControllerId;
 import io.violetrail.net.Http;
 import io.violetrail.net.Loop;
@@ -45,6 +47,15 @@
   /** Jobs that were submitted with a mistake: they fail on every machine. */
   public final Set<String> mistaken = new HashSet<>();
 
+  /** Whether controllers serve the Kubernetes API as well. */
+  public boolean kubernetes;
+
+  public static final int KUBERNETES_PORT = 6443;
+  public final Map<String, KubernetesApi> kubernetesApis = new HashMap<>();
+
+  /** Every launch as "time task machine", in order. */
+  public final List<String> launches = new ArrayList<>();
+
   public final Map<String, Team> teams = new LinkedHashMap<>();
   public final Workers workers = new Workers(1, 10, 45, 4, 40);
   public StateLimits stateLimits = new StateLimits(500, 200, 8192, 24);
@@ -131,12 +142,25 @@
     places.put(settings.api(), guarded(name, life, node.api));
     places.put(settings.listen(), guarded(name, life, node.peerService()));
     node.start();
+    if (kubernetes) {
+      Kubernetes k =
+          new Kubernetes(
+              node,
+              (to, method, path, body, timeout) ->
+                  call(name, life, to, method, path, body, timeout),
+              KUBERNETES_PORT);
+      k.start();
+      kubernetesApis.put(name, k.api());
+      places.put(
+          new HostPort(name, KUBERNETES_PORT), guarded(name, life, KubeClient.served(k.api())));
+    }
     return node;
   }
 
   public void kill(String name) {
     lives.merge(name, 1, Integer::sum);
     nodes.remove(name);
+    kubernetesApis.remove(name);
   }
 
   /** A worker's own address answers from now on. */
