Reverted: small tasks leave the room of the urgent jobs of the next seconds

Cause: the few machines that are kept free lack the gang's image, whose fetch takes half of the 10 s or more; by stopping small tasks a gang chose among all machines those that have it.

--- a/src/main/java/io/violetrail/fleet/Spares.java
+++ b/src/main/java/io/violetrail/fleet/Spares.java
@@ -94,20 +94,11 @@
   /** Examples of jobs for which room is kept, with the tasks for which there is to be room. */
   public Map<JobSpec, Integer> wanted(Collection<MachineType> types, double now) {
     Map<JobSpec, Integer> all = new HashMap<>();
-    perSecond(types, now)
-        .forEach(
-            (job, rate) ->
-                all.put(job, (int) Math.ceil(rate * (bootS(job, types) + Boots.LEAD_S))));
-    return all;
-  }
-
-  /** Examples of jobs that are to start sooner than a machine boots, with their tasks a second. */
-  public Map<JobSpec, Double> perSecond(Collection<MachineType> types, double now) {
-    Map<JobSpec, Double> all = new HashMap<>();
     for (Seen seen : classes.values()) {
       seen.since(now - WINDOW_S);
       if (seen.tasks > 0 && urgent(seen.example, types)) {
-        all.put(seen.example, seen.tasks / WINDOW_S);
+        double lead = bootS(seen.example, types) + Boots.LEAD_S;
+        all.put(seen.example, (int) Math.ceil(seen.tasks / WINDOW_S * lead));
       }
     }
     return all;
--- a/src/main/java/io/violetrail/scheduling/Dispatcher.java
+++ b/src/main/java/io/violetrail/scheduling/Dispatcher.java
@@ -42,7 +42,6 @@
   private final Preemption preemption;
   private final Placer placer;
   private final Map<Holding, Waiting> waiting = new HashMap<>();
-  private final Map<Holding, Headroom> headroom = new HashMap<>();
   private final Aims aims;
 
   /** Machines with new placements whose workers may be waiting. */
@@ -86,7 +85,6 @@
   private void tick() {
     double now = node.loop.seconds();
     waiting.keySet().retainAll(node.membership.holdings());
-    headroom.keySet().retainAll(node.membership.holdings());
     for (Holding h : node.membership.holdings()) {
       if (h.active()) {
         for (Machine m : List.copyOf(h.machines.values())) {
@@ -257,7 +255,7 @@
       return;
     }
     double now = node.loop.seconds();
-    decideFor(h, now);
+    placer.with(now, node.prices());
     List<Machine> open = new ArrayList<>();
     for (Machine m : h.machines.values()) {
       if (m.open() && m.room().cpus() > 0) {
@@ -281,19 +279,13 @@
     node.sharing.ask(h);
   }
 
-  private void decideFor(Holding h, double now) {
-    Headroom room = headroom.computeIfAbsent(h, Headroom::new);
-    room.refresh(node.fleet.spares.perSecond(node.types().values(), now), now);
-    placer.with(now, node.prices(), room);
-  }
-
   /** Fills what has become free on a machine, for the answer to its report. */
   public void fill(Holding h, Machine m) {
     double now = node.loop.seconds();
     if (!m.open()) {
       return;
     }
-    decideFor(h, now);
+    placer.with(now, node.prices());
     boolean uncertain = h.uncertain(now);
     int gangs = 0;
     List<Machine> open = List.of(m);
@@ -319,8 +311,7 @@
     tellWaiting();
   }
 
-  private void placed(Holding h, Machine m) {
-    headroom.get(h).changed(m);
+  private void placed(Machine m) {
     given.add(m.id());
   }
 
@@ -367,7 +358,7 @@
         }
       }
       h.place(new Placement(job, i, m, h.newAttempt(), now));
-      placed(h, m);
+      placed(m);
       placed++;
       if (zones) {
         perZone.merge(m.row.zone(), 1, Integer::sum);
@@ -425,7 +416,7 @@
     long attempt = h.newAttempt();
     for (int i = 0; i < plan.size(); i++) {
       h.place(new Placement(job, i, plan.get(i), attempt, now));
-      placed(h, plan.get(i));
+      placed(plan.get(i));
     }
     return all;
   }
--- a/src/main/java/io/violetrail/scheduling/Placer.java
+++ b/src/main/java/io/violetrail/scheduling/Placer.java
@@ -40,7 +40,6 @@
 
   private double nowS;
   private Prices prices;
-  private Headroom headroom;
 
   /** A machine used less than this may be emptied by and by. */
   private static final double LIGHT = 0.5;
@@ -57,11 +56,10 @@
     this.sample = sample;
   }
 
-  /** What the next decisions go by: they are about one entity. */
-  void with(double now, Prices current, Headroom ofEntity) {
+  /** What the next decisions go by. */
+  void with(double now, Prices current) {
     nowS = now;
     prices = current;
-    headroom = ofEntity;
   }
 
   long looked() {
@@ -98,8 +96,7 @@
         && !(job.spareWork && now < m.clearedUntilS)
         && allowed(job, m, perZone)
         && leavesAccelerators(job, m, now)
-        && affordable(job, m, now)
-        && headroom.leaves(job.spec, m);
+        && affordable(job, m, now);
   }
 
   /** Whether a task of the job could start there if there were room. */
