--- a/src/main/java/io/violetrail/scheduling/Aims.java
+++ b/src/main/java/io/violetrail/scheduling/Aims.java
@@ -4,6 +4,7 @@
 import io.violetrail.config.Settings.Team;
 import io.violetrail.model.JobSpec;
 import io.violetrail.model.Priority;
+import io.violetrail.model.Shape;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -67,11 +68,12 @@
    * The moment by which the job is to be complete for the next thing that is expected of it, starts
    * counted as well: a job that still can start in time goes before one that has missed that and
    * has longer until the next. By ends alone, a burst was served in the order of arrival, and then
-   * nearly every urgent job of it started late. A job with a deadline of its own goes by that.
+   * nearly every urgent job of it started late. An array starts task by task and goes by its end:
+   * with starts, the widest made way too early.
    */
   double nextAimS(Job job, double now, double runS) {
     double next = nextDueS(job, now, runS);
-    if (job.spec.deadlineS() != null) {
+    if (job.spec.shape() != Shape.GANG) {
       return next;
     }
     for (Objective o : objectives) {
--- a/src/test/java/io/violetrail/fakes/World.java
+++ b/src/test/java/io/violetrail/fakes/World.java
@@ -267,9 +267,25 @@
     return life < 0 || lives(from, life);
   }
 
+  /** Where controllers are real processes: how workers reach them; otherwise null. */
+  public Outside outside;
+
+  /** A way to controllers outside of this world. */
+  public interface Outside {
+    CompletableFuture<Http.Reply> ask(String node, String method, String path, byte[] body);
+  }
+
+  /** Whether there is any controller to report to. */
+  boolean served() {
+    return outside != null || !nodes.isEmpty();
+  }
+
   /** A user's or worker's call to a controller. */
   public CompletableFuture<Http.Reply> ask(
       String from, String node, String method, String path, byte[] body) {
+    if (outside != null) {
+      return outside.ask(node, method, path, body);
+    }
     return call(from, -1, api(node), method, path, body, from.equals("user") ? 5 : 4);
   }
 
