--- a/src/main/java/io/violetrail/api/Intake.java
+++ b/src/main/java/io/violetrail/api/Intake.java
@@ -44,6 +44,12 @@
 
   /** Takes the job in, with a row of its own if one is given. */
   public CompletableFuture<Decision> admit(JobSpec spec, Companion with) {
+    node.traces.asked(spec.id());
+    return decide(spec, with)
+        .whenComplete((d, failure) -> node.traces.answered(spec.id(), d.verdict().name()));
+  }
+
+  private CompletableFuture<Decision> decide(JobSpec spec, Companion with) {
     Holding own = node.membership.own();
     if (own == null || !own.active() || !node.membership.valid()) {
       return later("this controller cannot take jobs now");
--- a/src/main/java/io/violetrail/api/Jobs.java
+++ b/src/main/java/io/violetrail/api/Jobs.java
@@ -309,6 +309,7 @@
         h.entity(),
         job.spec.task());
     LOG.info("job {} of entity {} is {}", job.spec.id(), h.entity(), status);
+    node.traces.ended(job.spec.id(), status);
     stop(h, job);
     if (job.nothingPlaced()) {
       h.jobs.remove(job.spec.id(), job);
--- a/src/main/java/io/violetrail/api/UserApi.java
+++ b/src/main/java/io/violetrail/api/UserApi.java
@@ -71,6 +71,8 @@
               poll(path.substring(WORK.length() + 1), metrics.timed("poll", within(POLL_S, done))));
     } else if (path.equals("/metrics")) {
       allow(get, done, () -> done.accept(Answer.text(metrics.text())));
+    } else if (path.equals("/traces") && node.traces.text() != null) {
+      allow(get, done, () -> done.accept(Answer.text(node.traces.text())));
     } else {
       done.accept(Answer.empty(404));
     }
--- a/src/main/java/io/violetrail/cli/Main.java
+++ b/src/main/java/io/violetrail/cli/Main.java
@@ -13,6 +13,7 @@
 import io.violetrail.net.UndertowLoop;
 import io.violetrail.net.UndertowServer;
 import io.violetrail.node.Node;
+import io.violetrail.tracing.SpanTraces;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.Arrays;
@@ -44,6 +45,9 @@
 
   private static final int BAD_USAGE = 2;
 
+  /** Some 2 KiB each. */
+  private static final int MOST_SPANS = 5_000;
+
   @Option(names = "--config", paramLabel = "FILE", description = "the platform's settings (TOML)")
   private Path config;
 
@@ -77,6 +81,15 @@
               + " (VIOLETRAIL_KUBERNETES_PORT); default: not at all")
   private Integer kubernetesPort;
 
+  @Option(
+      names = "--trace-spans",
+      paramLabel = "N",
+      defaultValue = "${env:VIOLETRAIL_TRACE_SPANS}",
+      description =
+          "keeps the newest N spans of jobs' ways for GET /traces (VIOLETRAIL_TRACE_SPANS);"
+              + " default: none")
+  private Integer traceSpans;
+
   @Option(
       names = "--rehearse",
       hidden = true,
@@ -138,12 +151,15 @@
       if (kubernetesPort != null && (kubernetesPort < 1 || kubernetesPort > 65_535)) {
         throw new Settings.Invalid("--kubernetes-port must be 1 to 65535");
       }
+      if (traceSpans != null && (traceSpans < 1 || traceSpans > MOST_SPANS)) {
+        throw new Settings.Invalid("--trace-spans must be 1 to " + MOST_SPANS);
+      }
       settings = Settings.load(config);
     } catch (Settings.Invalid e) {
       System.err.println("violetrail: " + e.getMessage());
       return BAD_USAGE;
     }
-    start(settings, new Options(lapseS, idleS, sample, kubernetesPort), null);
+    start(settings, new Options(lapseS, idleS, sample, kubernetesPort, traceSpans), null);
     return 0;
   }
 
@@ -176,6 +192,9 @@
             return;
           }
           Node node = new Node(settings, options, loop, http, new Random());
+          if (options.traceSpans() != null) {
+            node.traces = new SpanTraces(loop, options.traceSpans());
+          }
           // The first calls are on their way while the servers come up.
           node.start();
           UndertowServer.start(settings.api(), node.api, loop, worker, buffers);
--- a/src/main/java/io/violetrail/node/Node.java
+++ b/src/main/java/io/violetrail/node/Node.java
@@ -29,6 +29,7 @@
 import io.violetrail.scheduling.Dispatcher;
 import io.violetrail.scheduling.Estimates;
 import io.violetrail.state.StateStore;
+import io.violetrail.tracing.Traces;
 import io.violetrail.wire.Cbor.Malformed;
 import io.violetrail.wire.CloudWire;
 import io.violetrail.worker.Beats;
@@ -67,6 +68,9 @@
   public final Halts halts;
   public final Estimates estimates = new Estimates();
 
+  /** Notes nothing unless it is switched on before the start. */
+  public Traces traces = Traces.NONE;
+
   private final Map<String, MachineType> types = new HashMap<>();
   private Object typesFrom;
 
--- a/src/main/java/io/violetrail/worker/Beats.java
+++ b/src/main/java/io/violetrail/worker/Beats.java
@@ -450,6 +450,7 @@
           orders.add(new Order(Verb.LAUNCH, p.task(), p.attempt, 0));
           p.sent = new Placement.Sent(m.session, m.seq);
           LOG.debug("task {} try {} launched on {}", p.task(), p.attempt, m.id());
+          node.traces.launched(p.job.spec.id(), m.id());
         }
       } else if (p.haltGraceS >= 0 && (p.state != State.SAVING || p.haltGraceS == 0)) {
         orders.add(new Order(Verb.HALT, p.task(), p.attempt, p.haltGraceS));
--- a/src/test/java/io/violetrail/stories/KubernetesTest.java
+++ b/src/test/java/io/violetrail/stories/KubernetesTest.java
@@ -12,6 +12,7 @@
 import io.violetrail.fakes.KubeClient.Reply;
 import io.violetrail.fakes.User;
 import io.violetrail.fakes.World;
+import io.violetrail.tracing.SpanTraces;
 import io.violetrail.wire.Cbor;
 import io.violetrail.wire.kubernetes.KubeJson;
 import java.util.ArrayList;
@@ -442,6 +443,23 @@
     world.until(20, () -> active() == 0);
   }
 
+  @Test
+  void aJobsWayIsTracedFromRequestToEndWithinABound() {
+    up();
+    var node = world.nodes.get("c0");
+    assertEquals(404, new User(world).send("c0", "GET", "/traces", null).status());
+    node.traces = new SpanTraces(node.loop, 6);
+    for (int i = 0; i < 3; i++) {
+      client.send("c0", "POST", JOBS, job("j" + i, 1));
+    }
+    world.until(120, () -> condition("c0", JOBS + "/j2").equals("Complete"));
+    String text = node.traces.text();
+    assertEquals(6, text.lines().count(), text);
+    assertTrue(text.contains("\"name\":\"run\""), text);
+    assertTrue(text.contains("\"violetrail.verdict\":\"DONE\""), text);
+    assertEquals(200, new User(world).send("c0", "GET", "/traces", null).status());
+  }
+
   @Test
   void listsComeInPagesAndForALabel() {
     up();
