Recurring calendars: exactly one run for each due time, and misses reported before the meeting

Need: billing files are to be ready before village meetings, study packs before subscribers wake. Everything that decides whether a due time has had its run stands in the schedule's own row; its cursor advances only by the transaction that stores the run's job. Ended runs go into checked, compressed blocks. What will be late is reported, made worse or withdrawn by its owner.

--- a/src/main/java/io/violetrail/api/Companion.java
+++ b/src/main/java/io/violetrail/api/Companion.java
@@ -3,7 +3,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
 /**
- * A row that is stored with a new job by the same transaction, on the condition that it does not
- * exist: both are there afterwards, or neither is.
+ * A row that is stored with a new job by the same transaction, on the condition that its last
+ * change is {@code stamp} (0: that it does not exist): both are stored, or neither is.
  */
-public record Companion(String key, ObjectNode value, int bytes) {}
+public record Companion(String key, long stamp, ObjectNode value, int bytes) {}
--- a/src/main/java/io/violetrail/api/Ledger.java
+++ b/src/main/java/io/violetrail/api/Ledger.java
@@ -229,7 +229,7 @@
           .set(Rows.job(e.id), Jobs.row(h.entity(), e.spec).put("page", page.name));
       if (e.with != null) {
         claims++;
-        txn.when(e.with.key(), 0).set(e.with.key(), e.with.value());
+        txn.when(e.with.key(), e.with.stamp()).set(e.with.key(), e.with.value());
       }
     }
 
--- a/src/main/java/io/violetrail/api/UserApi.java
+++ b/src/main/java/io/violetrail/api/UserApi.java
@@ -73,6 +73,8 @@
       allow(get, done, () -> done.accept(Answer.text(metrics.text())));
     } else if (path.equals("/traces") && node.traces.text() != null) {
       allow(get, done, () -> done.accept(Answer.text(node.traces.text())));
+    } else if (node.beside != null) {
+      node.beside.handle(method, path, body, done);
     } else {
       done.accept(Answer.empty(404));
     }
--- a/src/main/java/io/violetrail/cli/Main.java
+++ b/src/main/java/io/violetrail/cli/Main.java
@@ -1,6 +1,8 @@
 package io.violetrail.cli;
 
 import io.undertow.server.DefaultByteBufferPool;
+import io.violetrail.calendar.ScheduleApi;
+import io.violetrail.calendar.Schedules;
 import io.violetrail.config.Options;
 import io.violetrail.config.Settings;
 import io.violetrail.config.Settings.HostPort;
@@ -22,6 +24,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.Callable;
+import java.util.function.Supplier;
 import org.slf4j.LoggerFactory;
 import org.xnio.OptionMap;
 import org.xnio.Xnio;
@@ -90,6 +93,13 @@
               + " default: none")
   private Integer traceSpans;
 
+  @Option(
+      names = "--calendar",
+      defaultValue = "${env:VIOLETRAIL_CALENDAR:-false}",
+      description =
+          "serves and fires schedules at the API's address (VIOLETRAIL_CALENDAR); default: not")
+  private boolean calendar;
+
   @Option(
       names = "--rehearse",
       hidden = true,
@@ -108,15 +118,19 @@
   public static void main(String[] args) {
     logging();
     // Only a command line that names it loads that command's classes: a start is outage time.
-    boolean offline = args.length > 0 && args[0].equals("kubernetes");
-    int status =
-        new CommandLine(offline ? new KubernetesCommand() : new Main())
-            .execute(offline ? Arrays.copyOfRange(args, 1, args.length) : args);
+    Object command =
+        args.length > 0 ? commands().getOrDefault(args[0], Main::new).get() : new Main();
+    String[] rest = command instanceof Main ? args : Arrays.copyOfRange(args, 1, args.length);
+    int status = new CommandLine(command).execute(rest);
     if (status != 0) {
       System.exit(status);
     }
   }
 
+  private static Map<String, Supplier<Object>> commands() {
+    return Map.of("kubernetes", KubernetesCommand::new, "schedule", ScheduleCommand::new);
+  }
+
   private static void logging() {
     String level = System.getenv().getOrDefault("LOG_LEVEL", "info").toLowerCase(Locale.ROOT);
     boolean known = Set.of("error", "info", "debug").contains(level);
@@ -159,7 +173,7 @@
       System.err.println("violetrail: " + e.getMessage());
       return BAD_USAGE;
     }
-    start(settings, new Options(lapseS, idleS, sample, kubernetesPort, traceSpans), null);
+    start(settings, new Options(lapseS, idleS, sample, kubernetesPort, traceSpans, calendar), null);
     return 0;
   }
 
@@ -199,6 +213,11 @@
           node.start();
           UndertowServer.start(settings.api(), node.api, loop, worker, buffers);
           UndertowServer.start(settings.listen(), node.peerService(), loop, worker, buffers);
+          if (options.calendar()) {
+            Schedules schedules = new Schedules(node);
+            schedules.start();
+            node.beside = new ScheduleApi(node, schedules);
+          }
           if (options.kubernetesPort() != null) {
             Kubernetes kubernetes = new Kubernetes(node, http, options.kubernetesPort());
             kubernetes.start();
--- /dev/null
+++ b/src/main/java/io/violetrail/cli/ScheduleCommand.java
@@ -0,0 +1,247 @@
+package io.violetrail.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.violetrail.calendar.Days;
+import io.violetrail.calendar.Expression;
+import io.violetrail.calendar.Holidays;
+import io.violetrail.wire.kubernetes.KubeJson;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.DateTimeException;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.LocalDate;
+import java.time.ZoneId;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** Schedules from the command line: at a controller, or without one. */
+@Command(
+    name = "schedule",
+    mixinStandardHelpOptions = true,
+    subcommands = {ScheduleCommand.Preview.class},
+    description = {
+      "Recurring jobs tied to calendars.",
+      "Exit status: 0 done, 1 refused or torn, 2 bad usage, 3 no answer; nothing is half done."
+    })
+final class ScheduleCommand implements Callable<Integer> {
+  private static final int REFUSED = 1;
+  private static final int BAD_USAGE = 2;
+  private static final int NO_ANSWER = 3;
+  private static final Duration PATIENCE = Duration.ofSeconds(10);
+
+  @Spec private CommandSpec spec;
+
+  @Override
+  public Integer call() {
+    spec.commandLine().usage(spec.commandLine().getErr());
+    return BAD_USAGE;
+  }
+
+  private int ask(String server, String method, String path, byte[] body) {
+    HttpRequest.BodyPublisher sent =
+        body == null ? BodyPublishers.noBody() : BodyPublishers.ofByteArray(body);
+    try {
+      var answer =
+          HttpClient.newHttpClient()
+              .send(
+                  HttpRequest.newBuilder(URI.create("http://" + server + path))
+                      .timeout(PATIENCE)
+                      .method(method, sent)
+                      .build(),
+                  BodyHandlers.ofByteArray());
+      JsonNode m = KubeJson.parse(answer.body());
+      spec.commandLine().getOut().println(m.toPrettyString());
+      boolean torn = !m.path("torn").isEmpty();
+      return answer.statusCode() < 300 && !torn ? 0 : REFUSED;
+    } catch (IOException | KubeJson.Malformed | IllegalArgumentException e) {
+      spec.commandLine()
+          .getErr()
+          .println("violetrail schedule: " + server + " gave no answer: " + e.getMessage());
+      return NO_ANSWER;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return NO_ANSWER;
+    }
+  }
+
+  private int send(String server, String method, String path, Path file) {
+    try {
+      return ask(server, method, path, Files.readAllBytes(file));
+    } catch (IOException e) {
+      spec.commandLine().getErr().println("violetrail schedule: cannot read " + file);
+      return BAD_USAGE;
+    }
+  }
+
+  private static final String SERVER = "a controller's API address, host:port";
+
+  @Command(name = "create", description = "Creates the schedule that a JSON file describes.")
+  int create(
+      @Option(names = "--server", required = true, description = SERVER) String server,
+      @Parameters(paramLabel = "FILE") Path file) {
+    return send(server, "POST", "/schedules", file);
+  }
+
+  @Command(name = "change", description = "Replaces a schedule; the file names its version.")
+  int change(
+      @Option(names = "--server", required = true, description = SERVER) String server,
+      @Parameters(paramLabel = "NAME") String name,
+      @Parameters(paramLabel = "FILE") Path file) {
+    return send(server, "PUT", "/schedules/" + name, file);
+  }
+
+  @Command(name = "list", description = "Lists schedules by name.")
+  int list(
+      @Option(names = "--server", required = true, description = SERVER) String server,
+      @Option(names = "--after", defaultValue = "", description = "begin after a name")
+          String after) {
+    return ask(server, "GET", "/schedules" + (after.isEmpty() ? "" : "?after=" + after), null);
+  }
+
+  @Command(name = "show", description = "Shows a schedule, its runs and their reports.")
+  int show(
+      @Option(names = "--server", required = true, description = SERVER) String server,
+      @Parameters(paramLabel = "NAME") String name) {
+    return ask(server, "GET", "/schedules/" + name, null);
+  }
+
+  @Command(name = "pause", description = "Nothing is due until it is resumed, or made up then.")
+  int pause(
+      @Option(names = "--server", required = true, description = SERVER) String server,
+      @Parameters(paramLabel = "NAME") String name) {
+    return ask(server, "POST", "/schedules/" + name + "/pause", null);
+  }
+
+  @Command(name = "resume", description = "Ends a pause.")
+  int resume(
+      @Option(names = "--server", required = true, description = SERVER) String server,
+      @Parameters(paramLabel = "NAME") String name) {
+    return ask(server, "POST", "/schedules/" + name + "/resume", null);
+  }
+
+  @Command(name = "delete", description = "Deletes a schedule; runs under way go on.")
+  int delete(
+      @Option(names = "--server", required = true, description = SERVER) String server,
+      @Parameters(paramLabel = "NAME") String name) {
+    return ask(server, "DELETE", "/schedules/" + name, null);
+  }
+
+  @Command(name = "history", description = "Ended runs; a torn block is named, status 1.")
+  int history(
+      @Option(names = "--server", required = true, description = SERVER) String server,
+      @Parameters(paramLabel = "NAME") String name) {
+    return ask(server, "GET", "/schedules/" + name + "/history", null);
+  }
+
+  @Command(
+      name = "reports",
+      description = "Deadlines that will be or were missed, at a controller.")
+  int reports(@Option(names = "--server", required = true, description = SERVER) String server) {
+    return ask(server, "GET", "/reports", null);
+  }
+
+  @Command(name = "days", description = "Keeps the local days of a JSON file under a name.")
+  int days(
+      @Option(names = "--server", required = true, description = SERVER) String server,
+      @Parameters(paramLabel = "NAME") String name,
+      @Parameters(paramLabel = "FILE") Path file) {
+    return send(server, "PUT", "/calendars/" + name, file);
+  }
+
+  /** The next due times, day by day, without a controller. */
+  @Command(
+      name = "preview",
+      mixinStandardHelpOptions = true,
+      description = "Says when an expression is due next, and why days are or are not.")
+  static final class Preview implements Callable<Integer> {
+    @Parameters(paramLabel = "EXPRESSION")
+    private String expression;
+
+    @Option(
+        names = "--zone",
+        required = true,
+        description = "time zone, such as Africa/Dar_es_Salaam")
+    private String zone;
+
+    @Option(names = "--holidays", description = "region whose holidays are no workdays")
+    private String region;
+
+    @Option(names = "--from", description = "first day; default: today")
+    private LocalDate from;
+
+    @Option(names = "--count", defaultValue = "10", description = "due times to show")
+    private int count;
+
+    @Option(names = "--why", description = "also say of each day before them why it is passed")
+    private boolean why;
+
+    @Option(
+        names = "--days",
+        description = "local days, as NAME=DATE,DATE; may be repeated",
+        paramLabel = "NAME=DATES")
+    private Map<String, String> named = new HashMap<>();
+
+    @Spec private CommandSpec spec;
+
+    @Override
+    public Integer call() {
+      var out = spec.commandLine().getOut();
+      var err = spec.commandLine().getErr();
+      try {
+        Map<String, Set<LocalDate>> all = new HashMap<>();
+        named.forEach(
+            (name, dates) -> {
+              Set<LocalDate> set = new HashSet<>();
+              List.of(dates.split(",")).forEach(d -> set.add(LocalDate.parse(d)));
+              all.put(name, set);
+            });
+        Days days = Days.of(new Holidays(), all);
+        if (region != null && !days.knows(region)) {
+          err.println("violetrail schedule preview: nobody knows the region " + region);
+          return REFUSED;
+        }
+        Expression e = Expression.parse(expression);
+        ZoneId in = ZoneId.of(zone);
+        LocalDate day = from == null ? LocalDate.now(in) : from;
+        LocalDate last = day.plusYears(8);
+        int shown = 0;
+        while (shown < count && day.isBefore(last)) {
+          var due = e.on(day, in, region, days);
+          for (Instant at : due) {
+            if (shown++ < count) {
+              out.println(at.atZone(in) + " (" + e.why(day, region, days) + ")");
+            }
+          }
+          if (why && due.isEmpty()) {
+            out.println("  " + day + " passed: " + e.why(day, region, days));
+          }
+          day = day.plusDays(1);
+        }
+        if (shown == 0) {
+          err.println("violetrail schedule preview: it is never due within eight years");
+          return REFUSED;
+        }
+        return 0;
+      } catch (Expression.Malformed | DateTimeException e) {
+        err.println("violetrail schedule preview: " + e.getMessage());
+        return BAD_USAGE;
+      }
+    }
+  }
+}
--- a/src/main/java/io/violetrail/fleet/Boots.java
+++ b/src/main/java/io/violetrail/fleet/Boots.java
@@ -15,7 +15,7 @@
   private static final double USUAL = 1.6;
 
   /** Deciding, the cloud's answer and the first report come on top. */
-  static final double LEAD_S = 5;
+  public static final double LEAD_S = 5;
 
   /** A boot of so many times the slowest seen of late is not counted on any more. */
   private static final double LATE = 1.25;
--- a/src/main/java/io/violetrail/kubernetes/Feed.java
+++ b/src/main/java/io/violetrail/kubernetes/Feed.java
@@ -3,7 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.violetrail.node.Node;
-import io.violetrail.wire.StateWire;
+import io.violetrail.state.RowFeed;
 import io.violetrail.wire.StateWire.Change;
 import io.violetrail.wire.StateWire.Entry;
 import java.util.ArrayDeque;
@@ -11,23 +11,17 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * All changes of kept objects, in the state service's own order. One watch a controller serves its
  * clients' watches and its own bookkeeping, whoever made the change and whoever owns the object, so
  * a move of an entity is no event at all.
  */
-final class Feed {
-  private static final Logger LOG = LoggerFactory.getLogger(Feed.class);
-  private static final double WATCH_S = 20;
-  private static final double AGAIN_S = 1;
-
+final class Feed implements RowFeed.Rows {
   /** Events kept for watches that begin in the past; some hundred changed objects of 4 KiB. */
   private static final int KEPT = 400;
 
-  private final Node node;
+  private final RowFeed rows;
   private final Bookkeeper bookkeeper;
 
   /** Objects of each kind and namespace, for the bound on them. */
@@ -40,9 +34,6 @@
   /** Events after this revision are all among those kept. */
   private long floor;
 
-  private long revision;
-  private boolean ready;
-
   /** What happened to an object, under which revision. */
   record Event(Type type, KubeObject object, long revision) {}
 
@@ -70,39 +61,35 @@
   }
 
   Feed(Node node, Bookkeeper bookkeeper) {
-    this.node = node;
+    this.rows = new RowFeed(node.store, node.loop, KubeObject.ROWS, this);
     this.bookkeeper = bookkeeper;
   }
 
   void start() {
-    node.store
-        .list(KubeObject.ROWS)
-        .whenComplete(
-            (listing, failure) -> {
-              if (failure != null) {
-                node.loop.after(AGAIN_S, this::start);
-                return;
-              }
-              keys.clear();
-              counts.clear();
-              events.clear();
-              for (Entry e : listing.entries()) {
-                take(e.key(), e.value(), e.stamp());
-              }
-              floor = listing.revision();
-              revision = floor;
-              ready = true;
-              watch();
-            });
+    rows.start();
+  }
+
+  @Override
+  public void listed(List<Entry> all, long revision) {
+    keys.clear();
+    counts.clear();
+    events.clear();
+    for (Entry e : all) {
+      take(e.key(), e.value(), e.stamp());
+    }
+    floor = revision;
+    List<Follower> missed = List.copyOf(followers);
+    followers.clear();
+    missed.forEach(Follower::lost);
   }
 
   /** Whether objects can be counted and watched. */
   boolean ready() {
-    return ready;
+    return rows.ready();
   }
 
   long revision() {
-    return revision;
+    return rows.revision();
   }
 
   /** Objects of a kind in a namespace, deleted ones not counted. */
@@ -112,12 +99,12 @@
 
   /** Follows all events after a revision; false if some of them are not kept any more. */
   boolean follow(long after, Follower follower) {
-    if (!ready || after < floor) {
+    if (!ready() || after < floor) {
       return false;
     }
     List<Event> missed = events.stream().filter(e -> e.revision() > after).toList();
     if (!missed.isEmpty()) {
-      follower.changed(missed, revision);
+      follower.changed(missed, revision());
     }
     followers.add(follower);
     return true;
@@ -131,41 +118,15 @@
     return followers.size();
   }
 
-  private void watch() {
-    node.store.watch(
-        KubeObject.ROWS,
-        revision,
-        WATCH_S,
-        body -> {
-          changed(StateWire.changes(body), StateWire.revision(body));
-          watch();
-        },
-        tooOld -> {
-          if (tooOld) {
-            LOG.info(
-                "changes after revision {} are no longer kept: objects are read again", revision);
-            ready = false;
-            List<Follower> all = List.copyOf(followers);
-            followers.clear();
-            all.forEach(Follower::lost);
-            start();
-          } else {
-            node.loop.after(AGAIN_S, this::watch);
-          }
-        });
-  }
-
-  private void changed(List<Change> changes, long upTo) {
+  @Override
+  public void changed(List<Change> changes, long revision) {
     List<Event> fresh = new ArrayList<>();
     for (Change c : changes) {
-      if (c.stamp() > revision) {
-        Event e = take(c.key(), c.value(), c.stamp());
-        if (e != null) {
-          fresh.add(e);
-        }
+      Event e = take(c.key(), c.value(), c.stamp());
+      if (e != null) {
+        fresh.add(e);
       }
     }
-    revision = Math.max(revision, upTo);
     for (Event e : fresh) {
       events.addLast(e);
       while (events.size() > KEPT) {
--- a/src/main/java/io/violetrail/kubernetes/Listener.java
+++ b/src/main/java/io/violetrail/kubernetes/Listener.java
@@ -97,7 +97,10 @@
     @Override
     public Stream stream(Runnable closed) {
       http.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
-      return new Lines(http, loop, closed);
+      Lines lines = new Lines(http, loop, closed);
+      // An empty line, so that the headers leave: a client waited for them until the first event.
+      lines.send(new byte[] {'\n'});
+      return lines;
     }
   }
 
--- a/src/main/java/io/violetrail/kubernetes/Objects.java
+++ b/src/main/java/io/violetrail/kubernetes/Objects.java
@@ -120,7 +120,7 @@
   /** The Job and its native job are stored by one transaction, through the one intake. */
   private void withJob(KubeObject object, JobSpec spec, int bytes, Exchange to) {
     node.intake
-        .admit(spec, new Companion(object.key(), object.value(), bytes))
+        .admit(spec, new Companion(object.key(), 0, object.value(), bytes))
         .thenAccept(
             decision -> {
               if (decision.verdict() == Verdict.ACCEPTED && decision.revision() > 0) {
--- a/src/main/java/io/violetrail/net/UndertowServer.java
+++ b/src/main/java/io/violetrail/net/UndertowServer.java
@@ -58,7 +58,8 @@
 
   private static void serve(HttpServerExchange exchange, byte[] body, Service service) {
     String method = exchange.getRequestMethod().toString();
-    String path = exchange.getRequestPath();
+    String query = exchange.getQueryString();
+    String path = exchange.getRequestPath() + (query.isEmpty() ? "" : "?" + query);
     try {
       service.handle(method, path, body, answer -> answer(exchange, answer));
     } catch (RuntimeException e) {
--- a/src/main/java/io/violetrail/node/Node.java
+++ b/src/main/java/io/violetrail/node/Node.java
@@ -68,6 +68,9 @@
   public final Halts halts;
   public final Estimates estimates = new Estimates();
 
+  /** Serves paths of what is switched on beside; null if nothing is. */
+  public Service beside;
+
   /** Notes nothing unless it is switched on before the start. */
   public Traces traces = Traces.NONE;
 
--- a/src/test/java/io/violetrail/fakes/FakeState.java
+++ b/src/test/java/io/violetrail/fakes/FakeState.java
@@ -52,6 +52,11 @@
     return e == null ? null : e.value();
   }
 
+  /** A row that is there without anybody's having written it. */
+  void put(String key, JsonNode value) {
+    keys.put(key, new Entry(value, ++revision, 0));
+  }
+
   public Set<String> keys(String prefix) {
     return new HashSet<>(keys.subMap(prefix, prefix + "\uffff").keySet());
   }
--- a/src/test/java/io/violetrail/fakes/World.java
+++ b/src/test/java/io/violetrail/fakes/World.java
@@ -1,5 +1,8 @@
 package io.violetrail.fakes;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.violetrail.calendar.ScheduleApi;
+import io.violetrail.calendar.Schedules;
 import io.violetrail.config.Options;
 import io.violetrail.config.Settings;
 import io.violetrail.config.Settings.CloudLimits;
@@ -16,6 +19,7 @@
 import io.violetrail.net.Loop;
 import io.violetrail.net.Service;
 import io.violetrail.node.Node;
+import io.violetrail.wire.Cbor;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -50,6 +54,9 @@
   /** Whether controllers serve the Kubernetes API as well. */
   public boolean kubernetes;
 
+  /** Whether controllers fire schedules as well. */
+  public boolean calendar;
+
   public static final int KUBERNETES_PORT = 6443;
   public final Map<String, KubernetesApi> kubernetesApis = new HashMap<>();
 
@@ -142,6 +149,11 @@
     places.put(settings.api(), guarded(name, life, node.api));
     places.put(settings.listen(), guarded(name, life, node.peerService()));
     node.start();
+    if (calendar) {
+      Schedules schedules = new Schedules(node);
+      schedules.start();
+      node.beside = new ScheduleApi(node, schedules);
+    }
     if (kubernetes) {
       Kubernetes k =
           new Kubernetes(
@@ -163,6 +175,16 @@
     kubernetesApis.remove(name);
   }
 
+  /** A schedule that is there already, as its row would hold it. */
+  public void schedule(String name, ObjectNode definition, String entity) {
+    ObjectNode row = Cbor.map().put("uid", name).put("entity", entity).put("version", 1);
+    row.put("paused", false).put("cursor", 1_700_000_000_000L + (long) (now * 1000));
+    row.put("blocks", 0).set("def", definition);
+    row.putArray("runs");
+    row.putArray("past");
+    state.put("cal/s/" + name, row);
+  }
+
   /** A worker's own address answers from now on. */
   void place(FakeWorker worker) {
     places.put(worker.address(), worker.service());
