--- a/src/main/java/io/violetrail/api/UserApi.java
+++ b/src/main/java/io/violetrail/api/UserApi.java
@@ -42,7 +42,9 @@
   }
 
   @Override
-  public void handle(String method, String path, byte[] body, Consumer<Answer> done) {
+  public void handle(String method, String target, byte[] body, Consumer<Answer> done) {
+    int mark = target.indexOf('?');
+    String path = mark < 0 ? target : target.substring(0, mark);
     boolean post = "POST".equals(method);
     boolean get = "GET".equals(method);
     if (path.equals("/agent/beat")) {
@@ -74,7 +76,7 @@
     } else if (path.equals("/traces") && node.traces.text() != null) {
       allow(get, done, () -> done.accept(Answer.text(node.traces.text())));
     } else if (node.beside != null) {
-      node.beside.handle(method, path, body, done);
+      node.beside.handle(method, target, body, done);
     } else {
       done.accept(Answer.empty(404));
     }
--- a/src/main/java/io/violetrail/calendar/Schedules.java
+++ b/src/main/java/io/violetrail/calendar/Schedules.java
@@ -15,6 +15,7 @@
 import io.violetrail.ownership.Holding;
 import io.violetrail.scheduling.Job;
 import io.violetrail.scheduling.Placement;
+import io.violetrail.state.FirstListing;
 import io.violetrail.state.RowFeed;
 import io.violetrail.wire.Cbor;
 import io.violetrail.wire.StateWire.Change;
@@ -57,8 +58,7 @@
 
   private static final class Own {
     final Firing firing;
-    boolean loading;
-    boolean loaded;
+    final FirstListing listing = new FirstListing();
 
     Own(Firing firing) {
       this.firing = firing;
@@ -145,7 +145,7 @@
     }
     for (Holding h : node.membership.holdings()) {
       Own own = owned.computeIfAbsent(h, this::own);
-      if (!own.loaded) {
+      if (!own.listing.done()) {
         load(h, own);
       } else if (h.active()) {
         own.firing.tick();
@@ -159,27 +159,16 @@
 
   /** Rows as of after the move: what a former owner settled stands in them. */
   private void load(Holding h, Own own) {
-    if (own.loading) {
-      return;
-    }
-    own.loading = true;
-    node.store
-        .list(ScheduleRow.ROWS)
-        .whenComplete(
-            (listing, failure) -> {
-              own.loading = false;
-              if (failure != null) {
-                return;
-              }
-              for (Entry e : listing.entries()) {
-                ScheduleRow row = ScheduleRow.of(e.key(), e.value(), e.stamp());
-                if (row.entity().equals(h.entity())) {
-                  own.firing.row(row);
-                }
-              }
-              own.loaded = true;
-              LOG.info("entity {}: {} schedules", h.entity(), own.firing.schedules());
-            });
+    own.listing.read(
+        node.store,
+        ScheduleRow.ROWS,
+        e -> {
+          ScheduleRow row = ScheduleRow.of(e.key(), e.value(), e.stamp());
+          if (row.entity().equals(h.entity())) {
+            own.firing.row(row);
+          }
+        },
+        () -> LOG.info("entity {}: {} schedules", h.entity(), own.firing.schedules()));
   }
 
   /** What the schedules of one entity reach. */
--- a/src/main/java/io/violetrail/kubernetes/Keeper.java
+++ b/src/main/java/io/violetrail/kubernetes/Keeper.java
@@ -8,7 +8,7 @@
 import io.violetrail.node.Node;
 import io.violetrail.ownership.Holding;
 import io.violetrail.scheduling.Job;
-import io.violetrail.wire.StateWire.Entry;
+import io.violetrail.state.FirstListing;
 import java.util.ArrayDeque;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -50,8 +50,7 @@
     final Set<String> writing = new HashSet<>();
     final Set<JobId> never = new HashSet<>();
     final ArrayDeque<String> turn = new ArrayDeque<>();
-    boolean loading;
-    boolean loaded;
+    final FirstListing listing = new FirstListing();
   }
 
   /** A deleted object whose tasks may still run. */
@@ -99,7 +98,9 @@
   /** The kept objects of a namespace that this controller's entities hold, by name. */
   List<KubeObject> held(ControllerId entity, String namespace) {
     for (var e : owned.entrySet()) {
-      if (e.getKey().entity().equals(entity) && e.getKey().active() && e.getValue().loaded) {
+      if (e.getKey().entity().equals(entity)
+          && e.getKey().active()
+          && e.getValue().listing.done()) {
         return e.getValue().objects.values().stream()
             .filter(o -> namespace == null || o.namespace().equals(namespace))
             .sorted(Comparator.comparing(KubeObject::namespace).thenComparing(KubeObject::name))
@@ -125,7 +126,7 @@
     }
     for (Holding h : node.membership.holdings()) {
       Own own = owned.computeIfAbsent(h, x -> new Own());
-      if (!own.loaded) {
+      if (!own.listing.done()) {
         load(h, own);
       } else if (h.active()) {
         turn(h, own);
@@ -135,31 +136,21 @@
 
   /** Rows as of after the move: from here on the feed tells of every change. */
   private void load(Holding h, Own own) {
-    if (own.loading) {
-      return;
-    }
-    own.loading = true;
-    node.store
-        .list(KubeObject.ROWS)
-        .whenComplete(
-            (listing, failure) -> {
-              own.loading = false;
-              if (failure != null) {
-                return;
-              }
-              for (Entry e : listing.entries()) {
-                KubeObject object = KubeObject.of(e.key(), e.value(), e.stamp());
-                if (object == null || !object.entity().equals(h.entity())) {
-                  continue;
-                }
-                if (KubeObject.isGone(e.key())) {
-                  own.gone.put(e.key(), new Gone(object, e.stamp()));
-                } else {
-                  put(own, object);
-                }
-              }
-              own.loaded = true;
-            });
+    own.listing.read(
+        node.store,
+        KubeObject.ROWS,
+        e -> {
+          KubeObject object = KubeObject.of(e.key(), e.value(), e.stamp());
+          if (object == null || !object.entity().equals(h.entity())) {
+            return;
+          }
+          if (KubeObject.isGone(e.key())) {
+            own.gone.put(e.key(), new Gone(object, e.stamp()));
+          } else {
+            put(own, object);
+          }
+        },
+        () -> LOG.info("entity {}: {} objects", h.entity(), own.objects.size()));
   }
 
   private void turn(Holding h, Own own) {
--- a/src/main/java/io/violetrail/kubernetes/KubeObject.java
+++ b/src/main/java/io/violetrail/kubernetes/KubeObject.java
@@ -73,6 +73,10 @@
     return ROWS + kind.row() + "/" + (namespace == null ? "" : namespace + "/");
   }
 
+  Ref ref() {
+    return new Ref(kind, namespace, name);
+  }
+
   public String key() {
     return rows(kind, namespace) + name;
   }
--- a/src/main/java/io/violetrail/kubernetes/KubernetesApi.java
+++ b/src/main/java/io/violetrail/kubernetes/KubernetesApi.java
@@ -204,13 +204,13 @@
     switch (r.method()) {
       case "GET" -> {
         Query.known(r.query(), Set.of("resourceVersion"));
-        objects.get(kind, t.namespace(), t.name(), to);
+        objects.get(new Ref(kind, t.namespace(), t.name()), to);
       }
       case "PUT" -> {
         Query.known(r.query(), Set.of());
         ObjectNode manifest = body(r, to);
         if (manifest != null) {
-          objects.replace(kind, t.namespace(), t.name(), manifest, to);
+          objects.replace(new Ref(kind, t.namespace(), t.name()), manifest, to);
         }
       }
       case "DELETE" -> {
@@ -218,7 +218,7 @@
         String policy = r.query().getOrDefault("propagationPolicy", "Background");
         ObjectNode options = r.body().length == 0 ? KubeJson.object() : body(r, to);
         if (options != null) {
-          objects.delete(kind, t.namespace(), t.name(), options, policy, to);
+          objects.delete(new Ref(kind, t.namespace(), t.name()), options, policy, to);
         }
       }
       default ->
@@ -235,15 +235,15 @@
     } else if (r.method().equals("GET")) {
       Query.known(r.query(), Set.of());
       if (scale) {
-        objects.getScale(kind, t.namespace(), t.name(), to);
+        objects.getScale(new Ref(kind, t.namespace(), t.name()), to);
       } else {
-        objects.get(kind, t.namespace(), t.name(), to);
+        objects.get(new Ref(kind, t.namespace(), t.name()), to);
       }
     } else if (scale && r.method().equals("PUT")) {
       Query.known(r.query(), Set.of());
       ObjectNode body = body(r, to);
       if (body != null) {
-        objects.scale(kind, t.namespace(), t.name(), body, to);
+        objects.scale(new Ref(kind, t.namespace(), t.name()), body, to);
       }
     } else {
       to.answer(KubeStatus.notAllowed("a status is written by its object's owner alone"));
--- a/src/main/java/io/violetrail/kubernetes/Listener.java
+++ b/src/main/java/io/violetrail/kubernetes/Listener.java
@@ -1,8 +1,6 @@
 package io.violetrail.kubernetes;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.undertow.Undertow;
-import io.undertow.UndertowOptions;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.io.IoCallback;
 import io.undertow.io.Sender;
@@ -11,6 +9,7 @@
 import io.undertow.util.SameThreadExecutor;
 import io.violetrail.config.Settings.HostPort;
 import io.violetrail.net.UndertowLoop;
+import io.violetrail.net.UndertowServer;
 import io.violetrail.wire.kubernetes.KubeJson;
 import io.violetrail.wire.kubernetes.KubeStatus;
 import java.io.IOException;
@@ -23,8 +22,6 @@
 
 /** Serves the API over HTTP. Bodies, and what waits to be read by a watch's client, are bounded. */
 public final class Listener {
-  private static final int MAX_BODY = 64 * 1024;
-  private static final int IDLE_MS = 90_000;
 
   /** A client that lets more than this wait does not read. */
   private static final int MAX_UNREAD = 1 << 20;
@@ -37,14 +34,7 @@
       UndertowLoop loop,
       XnioWorker worker,
       ByteBufferPool buffers) {
-    Undertow.builder()
-        .addHttpListener(at.port(), at.host())
-        .setWorker(worker)
-        .setByteBufferPool(buffers)
-        .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, (long) MAX_BODY + 1)
-        .setServerOption(UndertowOptions.MAX_HEADER_SIZE, 8192)
-        .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_MS)
-        .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, 10_000)
+    UndertowServer.bounded(at, worker, buffers)
         .setHandler(exchange -> accept(exchange, api, loop))
         .build()
         .start();
@@ -52,9 +42,10 @@
 
   private static void accept(HttpServerExchange http, KubernetesApi api, UndertowLoop loop) {
     Answering to = new Answering(http, loop);
-    if (http.getRequestContentLength() > MAX_BODY) {
+    if (http.getRequestContentLength() > UndertowServer.MAX_BODY) {
       http.setPersistent(false);
-      to.answer(KubeStatus.tooLarge("the body is longer than " + MAX_BODY + " bytes"));
+      to.answer(
+          KubeStatus.tooLarge("the body is longer than " + UndertowServer.MAX_BODY + " bytes"));
       return;
     }
     http.getRequestReceiver()
--- a/src/main/java/io/violetrail/kubernetes/Objects.java
+++ b/src/main/java/io/violetrail/kubernetes/Objects.java
@@ -46,15 +46,11 @@
     this.feed = feed;
   }
 
-  private static String named(Kind kind, String name) {
-    return kind.resource() + " \"" + name + "\"";
-  }
-
   void create(Kind kind, String namespace, ObjectNode manifest, Exchange to) {
     List<Refusal> no = translation.check(kind, manifest, namespace);
     String given = manifest.path("metadata").path("name").asText("");
     if (!no.isEmpty()) {
-      to.answer(KubeStatus.refused(named(kind, given), no));
+      to.answer(KubeStatus.refused(new Ref(kind, namespace, given).said(), no));
       return;
     }
     if (manifest.path("metadata").has("resourceVersion")) {
@@ -90,7 +86,7 @@
 
   private static KubeStatus impossible(KubeObject object, String why) {
     return KubeStatus.refused(
-        named(object.kind(), object.name()),
+        object.ref().said(),
         List.of(new Refusal("spec.template.spec", Cause.INVALID, "it can never run: " + why)));
   }
 
@@ -155,15 +151,13 @@
 
   private void answerExisting(KubeObject object, int code, Exchange to) {
     read(
-        object.kind(),
-        object.namespace(),
-        object.name(),
+        object.ref(),
         to,
         found -> {
           if (found != null && found.uid().equals(object.uid())) {
             to.answer(code, found.json(), 0);
           } else {
-            to.answer(KubeStatus.exists(named(object.kind(), object.name())));
+            to.answer(KubeStatus.exists(object.ref().said()));
           }
         });
   }
@@ -176,10 +170,9 @@
   }
 
   /** A fresh read, whoever owns the object: no answer is older than one given before. */
-  void read(Kind kind, String namespace, String name, Exchange to, Consumer<KubeObject> then) {
-    String key = KubeObject.rows(kind, namespace) + name;
+  void read(Ref at, Exchange to, Consumer<KubeObject> then) {
     node.store
-        .getForUser(key)
+        .getForUser(at.key())
         .whenComplete(
             (entry, failure) -> {
               if (failure != null) {
@@ -188,20 +181,18 @@
                 then.accept(
                     entry.value() == null
                         ? null
-                        : KubeObject.of(key, entry.value(), entry.stamp()));
+                        : KubeObject.of(at.key(), entry.value(), entry.stamp()));
               }
             });
   }
 
-  void get(Kind kind, String namespace, String name, Exchange to) {
+  void get(Ref at, Exchange to) {
     read(
-        kind,
-        namespace,
-        name,
+        at,
         to,
         found -> {
           if (found == null) {
-            to.answer(KubeStatus.notFound(named(kind, name)));
+            to.answer(KubeStatus.notFound(at.said()));
           } else {
             to.answer(200, found.json(), 0);
           }
@@ -267,39 +258,35 @@
   }
 
   /** Replaces what may change of an object. */
-  void replace(Kind kind, String namespace, String name, ObjectNode manifest, Exchange to) {
-    List<Refusal> no = translation.check(kind, manifest, namespace);
-    if (no.isEmpty() && !manifest.path("metadata").path("name").asText().equals(name)) {
+  void replace(Ref at, ObjectNode manifest, Exchange to) {
+    List<Refusal> no = translation.check(at.kind(), manifest, at.namespace());
+    if (no.isEmpty() && !manifest.path("metadata").path("name").asText().equals(at.name())) {
       no.add(new Refusal("metadata.name", Cause.INVALID, "is not the name in the request's path"));
     }
     if (!no.isEmpty()) {
-      to.answer(KubeStatus.refused(named(kind, name), no));
+      to.answer(KubeStatus.refused(at.said(), no));
       return;
     }
     JsonNode meta = manifest.path("metadata");
-    ObjectNode spec = Translation.withDefaults(kind, (ObjectNode) manifest.get("spec"));
+    ObjectNode spec = Translation.withDefaults(at.kind(), (ObjectNode) manifest.get("spec"));
     change(
-        kind,
-        namespace,
-        name,
+        at,
         meta.path("uid").asText(""),
         meta.path("resourceVersion").asText(""),
         to,
         found -> Updates.replaced(found, meta, spec, node.loop.wallMillis()));
   }
 
-  void scale(Kind kind, String namespace, String name, ObjectNode scale, Exchange to) {
+  void scale(Ref at, ObjectNode scale, Exchange to) {
     JsonNode replicas = scale.path("spec").path("replicas");
     JsonNode meta = scale.path("metadata");
-    List<Refusal> no = Updates.scaleRefusals(scale, name, namespace);
+    List<Refusal> no = Updates.scaleRefusals(scale, at.name(), at.namespace());
     if (!no.isEmpty()) {
-      to.answer(KubeStatus.refused("scale of " + named(kind, name), no));
+      to.answer(KubeStatus.refused("scale of " + at.said(), no));
       return;
     }
     change(
-        kind,
-        namespace,
-        name,
+        at,
         meta.path("uid").asText(""),
         meta.path("resourceVersion").asText(""),
         new Answering(to, Updates::scaleOf),
@@ -319,25 +306,16 @@
     }
   }
 
-  void getScale(Kind kind, String namespace, String name, Exchange to) {
-    get(kind, namespace, name, new Answering(to, Updates::scaleOf));
+  void getScale(Ref at, Exchange to) {
+    get(at, new Answering(to, Updates::scaleOf));
   }
 
-  private void change(
-      Kind kind,
-      String namespace,
-      String name,
-      String uid,
-      String version,
-      Exchange to,
-      Updates.Change change) {
-    tryChange(kind, namespace, name, uid, version, to, change, TRIES, null);
+  private void change(Ref at, String uid, String version, Exchange to, Updates.Change change) {
+    tryChange(at, uid, version, to, change, TRIES, null);
   }
 
   private void tryChange(
-      Kind kind,
-      String namespace,
-      String name,
+      Ref at,
       String uid,
       String version,
       Exchange to,
@@ -345,13 +323,11 @@
       int tries,
       KubeObject sent) {
     read(
-        kind,
-        namespace,
-        name,
+        at,
         to,
         found -> {
           if (found == null) {
-            to.answer(KubeStatus.notFound(named(kind, name)));
+            to.answer(KubeStatus.notFound(at.said()));
             return;
           }
           if (sent != null && found.value().equals(sent.value())) {
@@ -362,12 +338,12 @@
           boolean same = uid.isEmpty() || uid.equals(found.uid());
           boolean current = version.isEmpty() || version.equals(String.valueOf(found.stamp()));
           if (!same || !current || tries == 0) {
-            to.answer(KubeStatus.conflict(named(kind, name)));
+            to.answer(KubeStatus.conflict(at.said()));
             return;
           }
           Updates.Result result = change.of(found);
           if (!result.refused().isEmpty()) {
-            to.answer(KubeStatus.refused(named(kind, name), result.refused()));
+            to.answer(KubeStatus.refused(at.said(), result.refused()));
             return;
           }
           KubeObject next = result.next();
@@ -395,7 +371,7 @@
                     } else if (outcome.applied()) {
                       to.answer(200, next.at(outcome.revision()).json(), 0);
                     } else {
-                      tryChange(kind, namespace, name, uid, version, to, change, tries - 1, next);
+                      tryChange(at, uid, version, to, change, tries - 1, next);
                     }
                   });
         });
@@ -406,8 +382,7 @@
    * owner, or whoever takes the entity over, which tasks are to end; in the foreground it stays
    * until they have.
    */
-  void delete(
-      Kind kind, String namespace, String name, ObjectNode options, String policy, Exchange to) {
+  void delete(Ref at, ObjectNode options, String policy, Exchange to) {
     for (var fields = options.fieldNames(); fields.hasNext(); ) {
       String field = fields.next();
       if (!DELETE_FIELDS.contains(field)) {
@@ -430,37 +405,28 @@
                       "must be Background or Foreground: tasks do not outlive their object"))));
       return;
     }
-    tryDelete(kind, namespace, name, options.path("preconditions"), asked, to, TRIES);
+    tryDelete(at, options.path("preconditions"), asked, to, TRIES);
   }
 
-  private void tryDelete(
-      Kind kind,
-      String namespace,
-      String name,
-      JsonNode preconditions,
-      String policy,
-      Exchange to,
-      int tries) {
+  private void tryDelete(Ref at, JsonNode preconditions, String policy, Exchange to, int tries) {
     read(
-        kind,
-        namespace,
-        name,
+        at,
         to,
         found -> {
           if (found == null && tries < TRIES) {
             // Conditional on a state that is gone: an earlier try of ours, or somebody else's.
-            to.answer(200, KubeStatus.success(kind.plural(), name, ""), 0);
+            to.answer(200, KubeStatus.success(at.kind().plural(), at.name(), ""), 0);
             return;
           }
           if (found == null) {
-            to.answer(KubeStatus.notFound(named(kind, name)));
+            to.answer(KubeStatus.notFound(at.said()));
             return;
           }
           boolean same = preconditions.path("uid").asText(found.uid()).equals(found.uid());
           String stamp = String.valueOf(found.stamp());
           boolean current = preconditions.path("resourceVersion").asText(stamp).equals(stamp);
           if (!same || !current || tries == 0) {
-            to.answer(KubeStatus.conflict(named(kind, name)));
+            to.answer(KubeStatus.conflict(at.said()));
             return;
           }
           long now = node.loop.wallMillis();
@@ -482,9 +448,10 @@
                     if (failure != null) {
                       to.answer(unclear(failure));
                     } else if (!outcome.applied()) {
-                      tryDelete(kind, namespace, name, preconditions, policy, to, tries - 1);
+                      tryDelete(at, preconditions, policy, to, tries - 1);
                     } else if (background) {
-                      to.answer(200, KubeStatus.success(kind.plural(), name, found.uid()), 0);
+                      to.answer(
+                          200, KubeStatus.success(at.kind().plural(), at.name(), found.uid()), 0);
                     } else {
                       to.answer(200, marked.at(outcome.revision()).json(), 0);
                     }
--- a/src/main/java/io/violetrail/net/UndertowServer.java
+++ b/src/main/java/io/violetrail/net/UndertowServer.java
@@ -15,14 +15,22 @@
  * them.
  */
 public final class UndertowServer {
-  private static final int MAX_BODY = 64 * 1024;
+  public static final int MAX_BODY = 64 * 1024;
   private static final int IDLE_MS = 90_000;
 
   private UndertowServer() {}
 
   public static void start(
       HostPort at, Service service, UndertowLoop loop, XnioWorker worker, ByteBufferPool buffers) {
-    Undertow.builder()
+    bounded(at, worker, buffers)
+        .setHandler(exchange -> accept(exchange, service, loop))
+        .build()
+        .start();
+  }
+
+  /** A listener whose requests, headers and waits are bounded. */
+  public static Undertow.Builder bounded(HostPort at, XnioWorker worker, ByteBufferPool buffers) {
+    return Undertow.builder()
         .addHttpListener(at.port(), at.host())
         .setWorker(worker)
         .setByteBufferPool(buffers)
@@ -32,10 +40,7 @@
         .setServerOption(UndertowOptions.MAX_HEADER_SIZE, 8192)
         .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_MS)
         .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, 10_000)
-        .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
-        .setHandler(exchange -> accept(exchange, service, loop))
-        .build()
-        .start();
+        .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false);
   }
 
   private static void accept(HttpServerExchange exchange, Service service, UndertowLoop loop) {
