Stories of controllers that stand still; histories in times that people read; schedules counted by name

A frozen controller goes on at 25 drawn moments with late writes and answers, and knows that its version is over; refused connections between controllers move nothing. The bound on schedules was counted by creations alone and went wrong after changes had been missed. The table of refused fields names a kind's own only.

--- a/src/main/java/io/violetrail/calendar/ScheduleApi.java
+++ b/src/main/java/io/violetrail/calendar/ScheduleApi.java
@@ -18,6 +18,7 @@
 import java.time.LocalDate;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
@@ -38,6 +39,7 @@
   private static final int PAGE = 200;
   private static final int TRIES = 5;
   private static final int MOST_DATES = 600;
+  private static final Set<String> MOMENTS = Set.of("due", "last", "fired", "done", "at", "said");
 
   /** Schedules of all controllers together: a takeover reads them all. */
   static final int MOST_SCHEDULES = 20_000;
@@ -342,16 +344,32 @@
                   if (block == null) {
                     throw new Archive.Torn("the block is missing");
                   }
-                  runs.addAll(Archive.unpack(block));
+                  Archive.unpack(block).forEach(r -> runs.add(readable(r)));
                 } catch (Archive.Torn e) {
                   torn.addObject().put("block", keys.get(i)).put("error", e.getMessage());
                 }
               }
-              runs.addAll(row.past());
+              row.past().forEach(r -> runs.add(readable(r)));
               done.accept(json(200, m));
             });
   }
 
+  /** Rows and blocks hold moments as numbers, people read them as times. */
+  private static JsonNode readable(JsonNode run) {
+    ObjectNode m = Cbor.map();
+    run.fields()
+        .forEachRemaining(
+            e -> {
+              boolean moment = MOMENTS.contains(e.getKey()) && e.getValue().isNumber();
+              if (moment) {
+                m.put(e.getKey(), Instant.ofEpochMilli(e.getValue().asLong()).toString());
+              } else {
+                m.set(e.getKey(), e.getValue().isObject() ? readable(e.getValue()) : e.getValue());
+              }
+            });
+    return m;
+  }
+
   private void list(String query, Consumer<Answer> done) {
     String after = query.startsWith("after=") ? query.substring(6) : "";
     if (!after.isEmpty() && !after.matches(NAME)) {
--- a/src/main/java/io/violetrail/calendar/ScheduleRow.java
+++ b/src/main/java/io/violetrail/calendar/ScheduleRow.java
@@ -46,11 +46,8 @@
   static ScheduleRow fresh(
       String name, ObjectNode definition, ControllerId entity, String uid, long nowMs) {
     ObjectNode v = Cbor.map().put("uid", uid).put("entity", entity.value());
-    v.put("version", 1)
-        .put("fresh", true)
-        .put("paused", false)
-        .put("cursor", nowMs)
-        .put("blocks", 0);
+    v.put("version", 1).put("paused", false).put("cursor", nowMs).put("blocks", 0);
+
     v.set("def", definition);
     v.putArray("runs");
     v.putArray("past");
@@ -59,7 +56,6 @@
 
   ScheduleRow with(Consumer<ObjectNode> change) {
     ObjectNode next = value.deepCopy();
-    next.remove("fresh");
     change.accept(next);
     return new ScheduleRow(name, next, stamp);
   }
--- a/src/main/java/io/violetrail/calendar/Schedules.java
+++ b/src/main/java/io/violetrail/calendar/Schedules.java
@@ -54,7 +54,7 @@
   private final Holidays holidays = new Holidays();
   private final Days days = Days.of(holidays, named);
   private final Map<Holding, Own> owned = new HashMap<>();
-  private int rows;
+  private final Set<String> names = new HashSet<>();
 
   private static final class Own {
     final Firing firing;
@@ -85,7 +85,7 @@
 
   /** Schedules of all entities. */
   int count() {
-    return rows;
+    return names.size();
   }
 
   /** Schedules of held entities with a report that stands. */
@@ -98,7 +98,7 @@
   @Override
   public void listed(List<Entry> all, long revision) {
     named.clear();
-    rows = 0;
+    names.clear();
     for (Entry e : all) {
       take(e.key(), e.value(), e.stamp());
     }
@@ -121,14 +121,14 @@
       }
       owned.values().forEach(own -> own.firing.daysChanged());
     } else if (key.startsWith(ScheduleRow.ROWS)) {
+      String name = key.substring(ScheduleRow.ROWS.length());
       if (value == null) {
-        rows--;
-        String name = key.substring(ScheduleRow.ROWS.length());
+        names.remove(name);
         owned.values().forEach(own -> own.firing.gone(name));
         return;
       }
       ScheduleRow row = ScheduleRow.of(key, value, stamp);
-      rows += row.version() == 1 && row.value().path("fresh").asBoolean() ? 1 : 0;
+      names.add(name);
       owned.forEach(
           (h, own) -> {
             if (h.entity().equals(row.entity())) {
--- a/src/main/java/io/violetrail/kubernetes/Schema.java
+++ b/src/main/java/io/violetrail/kubernetes/Schema.java
@@ -18,6 +18,7 @@
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 
 /**
@@ -28,6 +29,25 @@
   private static final String REF = "$ref";
   private static final String DEFS = "$defs";
 
+  /** Fields that only Jobs have, and only Deployments, in the published API. */
+  private static final Set<String> JOBS =
+      Set.of(
+          "spec.manualSelector",
+          "spec.ttlSecondsAfterFinished",
+          "spec.backoffLimitPerIndex",
+          "spec.maxFailedIndexes",
+          "spec.podFailurePolicy",
+          "spec.podReplacementPolicy",
+          "spec.successPolicy",
+          "spec.managedBy");
+
+  private static final Set<String> DEPLOYMENTS =
+      Set.of(
+          "spec.minReadySeconds",
+          "spec.revisionHistoryLimit",
+          "spec.progressDeadlineSeconds",
+          "spec.paused");
+
   private final ObjectNode definitions;
   private final ObjectNode refused;
   private final ObjectNode annotations;
@@ -116,7 +136,9 @@
             e -> {
               String path = e.getKey();
               String parent = path.substring(0, Math.max(0, path.lastIndexOf('.')));
-              if (!all.containsKey(path) && all.containsKey(parent.replace("[0]", ""))) {
+              boolean known = parent.isEmpty() || all.containsKey(parent.replace("[0]", ""));
+              boolean others = kind == Kind.JOB ? DEPLOYMENTS.contains(path) : JOBS.contains(path);
+              if (!all.containsKey(path) && known && !others) {
                 all.put(path, new Field(path, false, e.getValue().asText()));
               }
             });
--- a/src/test/java/io/violetrail/calendar/CalendarTest.java
+++ b/src/test/java/io/violetrail/calendar/CalendarTest.java
@@ -92,7 +92,8 @@
     job.put("shape", "batch").put("urgency", "normal").put("pieces", 4).put("cores", 1.0);
     job.put("gpus", 0.0).put("mem_gb", 1.0).put("pull_gb", 0.1).put("one_zone", false);
     job.put("apart", false).put("loaners", false).put("guess_s", 60.0).put("snapshot_s", 0.0);
-    return job.put("flush_s", 0.0) == null ? null : m;
+    job.put("flush_s", 0.0);
+    return m;
   }
 
   private static int refused(ObjectNode m) {
--- a/src/test/java/io/violetrail/fakes/World.java
+++ b/src/test/java/io/violetrail/fakes/World.java
@@ -70,6 +70,7 @@
   private final Map<String, Integer> lives = new HashMap<>();
   private final PriorityQueue<Event> events = new PriorityQueue<>();
   private final Set<String> cut = new HashSet<>();
+  private final Map<String, Double> frozenUntil = new HashMap<>();
   private final List<Runnable> held = new ArrayList<>();
   private Predicate<String> hold = m -> false;
   private final int count;
@@ -185,6 +186,23 @@
     state.put("cal/s/" + name, row);
   }
 
+  /**
+   * A controller stands still while its clocks run on: timers, requests and answers that would
+   * reach it are all there when it goes on, in their order.
+   */
+  public void freeze(String name, double seconds) {
+    frozenUntil.put(name, now + seconds);
+  }
+
+  private void awake(String name, int life, Runnable task) {
+    double until = frozenUntil.getOrDefault(name, 0.0);
+    if (now < until) {
+      at(until - now, () -> awake(name, life, task));
+    } else if (lives(name, life)) {
+      task.run();
+    }
+  }
+
   /** A worker's own address answers from now on. */
   void place(FakeWorker worker) {
     places.put(worker.address(), worker.service());
@@ -195,11 +213,8 @@
   }
 
   private Service guarded(String name, int life, Service service) {
-    return (method, path, body, done) -> {
-      if (lives(name, life)) {
-        service.handle(method, path, body, done);
-      }
-    };
+    return (method, path, body, done) ->
+        awake(name, life, () -> service.handle(method, path, body, done));
   }
 
   /** Nothing goes to or comes from the host until it is mended. */
@@ -242,7 +257,7 @@
         timeoutS,
         () -> {
           if (!future.isDone() && alive(from, life)) {
-            future.completeExceptionally(new IOException("time out"));
+            timeOut(from, life, future);
           }
         });
     Runnable deliver =
@@ -257,11 +272,8 @@
                     at(
                         DELAY_S,
                         () -> {
-                          if (!future.isDone()
-                              && alive(from, life)
-                              && !cut.contains(from)
-                              && !cut.contains(to.host())) {
-                            future.complete(new Http.Reply(answer.status(), answer.body()));
+                          if (!cut.contains(from) && !cut.contains(to.host())) {
+                            reach(from, life, future, answer);
                           }
                         }));
           }
@@ -281,6 +293,35 @@
     return future;
   }
 
+  private void timeOut(String from, int life, CompletableFuture<Http.Reply> future) {
+    Runnable fail =
+        () -> {
+          if (!future.isDone()) {
+            future.completeExceptionally(new IOException("time out"));
+          }
+        };
+    if (life < 0) {
+      fail.run();
+    } else {
+      awake(from, life, fail);
+    }
+  }
+
+  private void reach(
+      String from, int life, CompletableFuture<Http.Reply> future, Service.Answer answer) {
+    Runnable complete =
+        () -> {
+          if (!future.isDone()) {
+            future.complete(new Http.Reply(answer.status(), answer.body()));
+          }
+        };
+    if (life < 0) {
+      complete.run();
+    } else {
+      awake(from, life, complete);
+    }
+  }
+
   private static boolean inner(HostPort to) {
     return to.equals(STATE) || to.equals(CLOUD);
   }
@@ -369,9 +410,14 @@
       at(
           seconds,
           () -> {
-            if (!off[0] && lives(name, life)) {
-              task.run();
-            }
+            awake(
+                name,
+                life,
+                () -> {
+                  if (!off[0]) {
+                    task.run();
+                  }
+                });
           });
       return () -> off[0] = true;
     }
--- a/src/test/java/io/violetrail/stories/FleetTest.java
+++ b/src/test/java/io/violetrail/stories/FleetTest.java
@@ -76,4 +76,54 @@
     long perTask = (looked() - before) / (4 * 1_500);
     assertTrue(perTask < 25, "machines looked at for each task: " + perTask);
   }
+
+  /**
+   * It stands still for longer than its lease, at moments drawn across its renewals, launches and
+   * writes, and goes on in mid-step with all that waited for it.
+   */
+  @Test
+  void aControllerThatStoodStillDoesNothingThatItHadDecided() {
+    for (int step = 0; step < 25; step++) {
+      World w = new World(3, 31 + step);
+      w.cloud.capacity = 12;
+      w.up();
+      User u = new User(w);
+      for (int i = 0; i < 6; i++) {
+        u.submit(World.name(i % 3), User.job("job-" + i, 20));
+      }
+      w.run(4 + 0.13 * step);
+      var frozen = w.nodes.get("c0");
+      var before = frozen.membership.own().row.version();
+      // What it had written but not sent leaves only when it goes on, and then comes too late.
+      w.hold(m -> m.startsWith("c0 state POST /txn") || m.startsWith("c0 vm-"));
+      w.run(0.02);
+      w.freeze("c0", 25);
+      w.run(25 - 0.05);
+      w.release();
+      w.run(0.3);
+      // It knows at once that its time was over, before anything that waited is acted upon.
+      assertTrue(
+          frozen.membership.own() == null
+              || frozen.membership.own().row.version().compareTo(before) > 0,
+          "it still believes in its old version");
+      for (int i = 0; i < 6; i++) {
+        String id = "job-" + i;
+        w.until(300, () -> u.poll("c1", id).equals("done"));
+      }
+      assertEquals(List.of(), w.broken, "step " + step);
+    }
+  }
+
+  @Test
+  void refusedConnectionsBetweenControllersAreNoDeath() {
+    world.up();
+    world.cloud.capacity = 20;
+    user.submit("c0", User.job("job-1", 40));
+    var versions = world.nodes.get("c1").membership.versions();
+    world.hold(m -> m.matches("c[0-2] c[0-2] .*"));
+    world.run(60);
+    world.release();
+    assertEquals(versions, world.nodes.get("c1").membership.versions(), "nothing moves to and fro");
+    world.until(120, () -> user.poll("c2", "job-1").equals("done"));
+  }
 }
