Read once more: one answer to whether work can be taken in, one way for answers to take another step

Found wrong and mended: Jobs, Deployments and schedules asked whether they could ever run before the machine types were known, and were refused with 422 for good, where native jobs are told 503. Intake says now for all why nothing can be taken in; a story shows it. Written more than once and made one: exchanges that change answers on their way (three), the check of the own entity (three), the fakes' way back to a caller. Simpler: a malformed body knows its own cause instead of being told by its text; spans are put into text once a request, not twice; a listing comes with its revision. Dead and gone: Expression.shortest, Definition.fields.

--- a/src/main/java/io/violetrail/api/Intake.java
+++ b/src/main/java/io/violetrail/api/Intake.java
@@ -50,13 +50,11 @@
   }
 
   private CompletableFuture<Decision> decide(JobSpec spec, Companion with) {
-    Holding own = node.membership.own();
-    if (own == null || !own.active() || !node.membership.valid()) {
-      return later("this controller cannot take jobs now");
-    }
-    if (node.types().isEmpty()) {
-      return later("the machine types are not known yet");
+    String closed = closed();
+    if (closed != null) {
+      return later(closed);
     }
+    Holding own = node.membership.own();
     String never = neverRuns(spec);
     if (never != null) {
       return refuse(spec, never);
@@ -81,6 +79,18 @@
             });
   }
 
+  /**
+   * Why nothing can be taken in now; null if it can. Whoever asks {@link #neverRuns} asks this
+   * first: while the machine types are not known nothing seems ever to run, which is not an answer.
+   */
+  public String closed() {
+    Holding own = node.membership.own();
+    if (own == null || !own.active() || !node.membership.valid()) {
+      return "this controller cannot take jobs now";
+    }
+    return node.types().isEmpty() ? "the machine types are not known yet" : null;
+  }
+
   private static CompletableFuture<Decision> later(String why) {
     return CompletableFuture.completedFuture(Decision.of(Verdict.LATER, why));
   }
--- a/src/main/java/io/violetrail/api/UserApi.java
+++ b/src/main/java/io/violetrail/api/UserApi.java
@@ -8,6 +8,7 @@
 import io.violetrail.net.Service;
 import io.violetrail.node.Node;
 import io.violetrail.ownership.Holding;
+import io.violetrail.tracing.Traces;
 import io.violetrail.wire.Cbor;
 import io.violetrail.wire.Cbor.Malformed;
 import io.violetrail.wire.JobWire;
@@ -73,7 +74,7 @@
               poll(path.substring(WORK.length() + 1), metrics.timed("poll", within(POLL_S, done))));
     } else if (path.equals("/metrics")) {
       allow(get, done, () -> done.accept(Answer.text(metrics.text())));
-    } else if (path.equals("/traces") && node.traces.text() != null) {
+    } else if (path.equals("/traces") && node.traces != Traces.NONE) {
       allow(get, done, () -> done.accept(Answer.text(node.traces.text())));
     } else if (node.beside != null) {
       node.beside.handle(method, target, body, done);
--- a/src/main/java/io/violetrail/calendar/Definition.java
+++ b/src/main/java/io/violetrail/calendar/Definition.java
@@ -11,7 +11,6 @@
 import java.time.Instant;
 import java.time.ZoneId;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Locale;
 import java.util.Set;
 import java.util.TreeSet;
@@ -187,8 +186,4 @@
   public Instant next(Instant after, Days days) {
     return expression.next(after, zone, holidays, days);
   }
-
-  static List<String> fields() {
-    return List.copyOf(new TreeSet<>(FIELDS));
-  }
 }
--- a/src/main/java/io/violetrail/calendar/Expression.java
+++ b/src/main/java/io/violetrail/calendar/Expression.java
@@ -2,7 +2,6 @@
 
 import io.violetrail.calendar.grammar.CalendarLexer;
 import io.violetrail.calendar.grammar.CalendarParser;
-import java.time.Duration;
 import java.time.Instant;
 import java.time.LocalDate;
 import java.time.LocalDateTime;
@@ -11,8 +10,8 @@
 import java.time.zone.ZoneOffsetTransition;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.stream.Collectors;
 import org.antlr.v4.runtime.BaseErrorListener;
 import org.antlr.v4.runtime.CharStreams;
 import org.antlr.v4.runtime.CommonTokenStream;
@@ -137,21 +136,8 @@
 
   /** Why a day is due or is not, for people. */
   public String why(LocalDate day, String region, Days days) {
-    TreeMap<Integer, String> reasons = new TreeMap<>();
-    for (int i = 0; i < rules.size(); i++) {
-      reasons.put(i, rules.get(i).days().why(day, region, days));
-    }
-    return String.join("; ", reasons.values());
-  }
-
-  /** The shortest time between two of its times of day; a bound on how often it can be due. */
-  public Duration shortest() {
-    Duration shortest = Duration.ofDays(1);
-    for (Rule r : rules) {
-      if (r.everyMinutes() > 0 && r.everyMinutes() < shortest.toMinutes()) {
-        shortest = Duration.ofMinutes(r.everyMinutes());
-      }
-    }
-    return shortest;
+    return rules.stream()
+        .map(r -> r.days().why(day, region, days))
+        .collect(Collectors.joining("; "));
   }
 }
--- a/src/main/java/io/violetrail/calendar/ScheduleApi.java
+++ b/src/main/java/io/violetrail/calendar/ScheduleApi.java
@@ -118,7 +118,7 @@
     }
   }
 
-  private Definition checked(ObjectNode m) throws Refused {
+  private void checked(ObjectNode m) throws Refused {
     Definition d = Definition.of(m);
     d.check(Instant.ofEpochMilli(node.loop.wallMillis()), schedules.days());
     String never = node.intake.neverRuns(d.spec(new JobId("job-0")));
@@ -128,7 +128,6 @@
     if (Cbor.bytes(m).length > node.settings.stateLimits().valueBytes() / 4) {
       throw new Refused(422, "job", "the description is too long");
     }
-    return d;
   }
 
   private static ObjectNode kept(ObjectNode m) {
@@ -142,11 +141,12 @@
     if (!name.matches(NAME)) {
       throw new Refused(400, "name", "must be lower case letters, digits and hyphens, at most 63");
     }
-    Holding own = node.membership.own();
-    if (!schedules.ready() || own == null || !own.active() || !node.membership.valid()) {
-      done.accept(error(503, "this controller cannot take schedules now"));
+    String closed = node.intake.closed();
+    if (!schedules.ready() || closed != null) {
+      done.accept(error(503, closed == null ? "the schedules are not read yet" : closed));
       return;
     }
+    Holding own = node.membership.own();
     if (schedules.count() >= MOST_SCHEDULES) {
       done.accept(error(429, "there are " + MOST_SCHEDULES + " schedules already"));
       return;
@@ -201,6 +201,10 @@
     if (m.has("name") && !m.get("name").asText().equals(name)) {
       throw new Refused(422, "name", "is not the name in the request's path");
     }
+    if (node.types().isEmpty()) {
+      done.accept(error(503, "the machine types are not known yet"));
+      return;
+    }
     checked(m);
     int version = m.get("version").asInt();
     change(
--- a/src/main/java/io/violetrail/kubernetes/Exchange.java
+++ b/src/main/java/io/violetrail/kubernetes/Exchange.java
@@ -23,6 +23,27 @@
     void end();
   }
 
+  /** What becomes of an answer on its way. */
+  interface Step {
+    void answer(int code, ObjectNode body, int againS);
+  }
+
+  /** The same exchange, but that its answer takes another step first; streams go straight on. */
+  default Exchange through(Step step) {
+    Exchange to = this;
+    return new Exchange() {
+      @Override
+      public void answer(int code, ObjectNode body, int againS) {
+        step.answer(code, body, againS);
+      }
+
+      @Override
+      public Stream stream(Runnable closed) {
+        return to.stream(closed);
+      }
+    };
+  }
+
   default void answer(KubeStatus status) {
     answer(status.code(), status.json(), status.againS());
   }
--- a/src/main/java/io/violetrail/kubernetes/KubernetesApi.java
+++ b/src/main/java/io/violetrail/kubernetes/KubernetesApi.java
@@ -8,8 +8,6 @@
 import io.violetrail.wire.kubernetes.KubeJson.Malformed;
 import io.violetrail.wire.kubernetes.KubeStatus;
 import io.violetrail.wire.kubernetes.Refusal;
-import io.violetrail.wire.kubernetes.Refusal.Cause;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import org.slf4j.Logger;
@@ -46,9 +44,9 @@
     try {
       route(request, audited(request, to));
     } catch (Malformed e) {
-      Cause cause = e.getMessage().contains("twice") ? Cause.DUPLICATE : Cause.TYPE;
       to.answer(
-          KubeStatus.refused("the request", List.of(new Refusal(e.path(), cause, e.getMessage()))));
+          KubeStatus.refused(
+              "the request", List.of(new Refusal(e.path(), e.kind(), e.getMessage()))));
     }
   }
 
@@ -57,25 +55,18 @@
     if (request.method().equals("GET")) {
       return to;
     }
-    return new Exchange() {
-      @Override
-      public void answer(int code, ObjectNode body, int againS) {
-        LOG.info(
-            "kubernetes {} {}: {} {}",
-            request.method(),
-            request.path(),
-            code,
-            code < 300
-                ? body.path("metadata").path("name").asText()
-                : body.path("message").asText());
-        to.answer(code, body, againS);
-      }
-
-      @Override
-      public Stream stream(Runnable closed) {
-        return to.stream(closed);
-      }
-    };
+    return to.through(
+        (code, body, againS) -> {
+          LOG.info(
+              "kubernetes {} {}: {} {}",
+              request.method(),
+              request.path(),
+              code,
+              code < 300
+                  ? body.path("metadata").path("name").asText()
+                  : body.path("message").asText());
+          to.answer(code, body, againS);
+        });
   }
 
   private void route(Request r, Exchange to) throws Malformed {
@@ -274,13 +265,8 @@
       watch.begin(to, List.of(), Long.parseLong(query.version()), query.forS());
       return;
     }
-    long[] revision = new long[1];
     objects.all(
-        kind,
-        namespace,
-        to,
-        first -> watch.begin(to, new ArrayList<>(first), revision[0], query.forS()),
-        r -> revision[0] = r);
+        kind, namespace, to, (first, revision) -> watch.begin(to, first, revision, query.forS()));
   }
 
   /** Another controller asks for the pods of an entity that it takes to be owned here. */
--- a/src/main/java/io/violetrail/kubernetes/Objects.java
+++ b/src/main/java/io/violetrail/kubernetes/Objects.java
@@ -18,8 +18,8 @@
 import java.util.List;
 import java.util.Set;
 import java.util.UUID;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
-import java.util.function.UnaryOperator;
 
 /**
  * Creates, reads, changes and deletes kept objects. Every controller does so for all of them, by
@@ -57,11 +57,12 @@
       to.answer(KubeStatus.badRequest("resourceVersion must not be set on objects to be created"));
       return;
     }
-    Holding own = node.membership.own();
-    if (!feed.ready() || own == null || !own.active() || !node.membership.valid()) {
-      to.answer(KubeStatus.unavailable("this controller cannot take objects now"));
+    String closed = node.intake.closed();
+    if (!feed.ready() || closed != null) {
+      to.answer(KubeStatus.unavailable(closed == null ? "the objects are not read yet" : closed));
       return;
     }
+    Holding own = node.membership.own();
     if (feed.count(kind, namespace) >= MOST_OBJECTS) {
       to.answer(KubeStatus.tooMany("the namespace holds " + MOST_OBJECTS + " " + kind.plural()));
       return;
@@ -232,12 +233,7 @@
   }
 
   /** All objects there are now with their revision, for a watch that begins with them. */
-  void all(
-      Kind kind,
-      String namespace,
-      Exchange to,
-      Consumer<List<KubeObject>> then,
-      Consumer<Long> revision) {
+  void all(Kind kind, String namespace, Exchange to, BiConsumer<List<KubeObject>, Long> then) {
     String prefix = KubeObject.rows(kind, namespace);
     node.store
         .pageForUser(prefix, "", 2 * MOST_OBJECTS)
@@ -248,11 +244,11 @@
               } else if (page.more()) {
                 to.answer(KubeStatus.tooMany("too many objects: list them in pages first"));
               } else {
-                revision.accept(page.revision());
                 then.accept(
                     page.entries().stream()
                         .map(e -> KubeObject.of(e.key(), e.value(), e.stamp()))
-                        .toList());
+                        .toList(),
+                    page.revision());
               }
             });
   }
@@ -289,25 +285,18 @@
         at,
         meta.path("uid").asText(""),
         meta.path("resourceVersion").asText(""),
-        new Answering(to, Updates::scaleOf),
+        asScale(to),
         found -> Updates.scaled(found, replicas.asInt()));
   }
 
-  /** Gives answers about an object another form. */
-  private record Answering(Exchange to, UnaryOperator<ObjectNode> form) implements Exchange {
-    @Override
-    public void answer(int code, ObjectNode body, int againS) {
-      to.answer(code, code < 300 ? form.apply(body) : body, againS);
-    }
-
-    @Override
-    public Stream stream(Runnable closed) {
-      return to.stream(closed);
-    }
+  /** Gives answers about an object the form of its scale. */
+  private static Exchange asScale(Exchange to) {
+    return to.through(
+        (code, body, againS) -> to.answer(code, code < 300 ? Updates.scaleOf(body) : body, againS));
   }
 
   void getScale(Ref at, Exchange to) {
-    get(at, new Answering(to, Updates::scaleOf));
+    get(at, asScale(to));
   }
 
   private void change(Ref at, String uid, String version, Exchange to, Updates.Change change) {
@@ -355,6 +344,10 @@
             to.answer(KubeStatus.tooLarge("the object is too long to be kept"));
             return;
           }
+          if (node.types().isEmpty()) {
+            to.answer(KubeStatus.unavailable("the machine types are not known yet"));
+            return;
+          }
           String never =
               node.intake.neverRuns(
                   translation.spec(next, KubeObject.nativeId(next.uid(), 1).value()));
--- a/src/main/java/io/violetrail/kubernetes/Pods.java
+++ b/src/main/java/io/violetrail/kubernetes/Pods.java
@@ -13,6 +13,7 @@
 import io.violetrail.wire.Cbor;
 import io.violetrail.wire.kubernetes.KubeJson;
 import io.violetrail.wire.kubernetes.KubeStatus;
+import io.violetrail.wire.kubernetes.Selector;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -39,7 +40,7 @@
   }
 
   private static Comparator<JsonNode> inOrder() {
-    return Comparator.<JsonNode, String>comparing(p -> order(p));
+    return Comparator.comparing(Pods::order);
   }
 
   private static String order(JsonNode pod) {
@@ -83,27 +84,19 @@
   }
 
   void get(String namespace, String name, Exchange to) {
-    Query one =
-        new Query(io.violetrail.wire.kubernetes.Selector.ALL, name, 1, "", false, false, "", 0);
+    Query one = new Query(Selector.ALL, name, 1, "", false, false, "", 0);
     list(
         namespace,
         one,
-        new Exchange() {
-          @Override
-          public void answer(int code, ObjectNode body, int againS) {
-            JsonNode pod = body.path("items").path(0);
-            if (code == 200 && pod.isMissingNode()) {
-              to.answer(KubeStatus.notFound("pods \"" + name + "\""));
-            } else {
-              to.answer(code, code == 200 ? (ObjectNode) pod : body, againS);
-            }
-          }
-
-          @Override
-          public Stream stream(Runnable closed) {
-            return to.stream(closed);
-          }
-        });
+        to.through(
+            (code, body, againS) -> {
+              JsonNode pod = body.path("items").path(0);
+              if (code == 200 && pod.isMissingNode()) {
+                to.answer(KubeStatus.notFound("pods \"" + name + "\""));
+              } else {
+                to.answer(code, code == 200 ? (ObjectNode) pod : body, againS);
+              }
+            }));
   }
 
   private CompletableFuture<List<ObjectNode>> of(
--- a/src/main/java/io/violetrail/kubernetes/Updates.java
+++ b/src/main/java/io/violetrail/kubernetes/Updates.java
@@ -167,8 +167,7 @@
         .path("matchLabels")
         .fields()
         .forEachRemaining(e -> selector.add(e.getKey() + "=" + e.getValue().asText()));
-    return status.isEmpty()
-        ? m
-        : m.set("status", status.put("selector", String.join(",", selector)));
+    status.put("selector", String.join(",", selector));
+    return m;
   }
 }
--- a/src/main/java/io/violetrail/wire/kubernetes/KubeJson.java
+++ b/src/main/java/io/violetrail/wire/kubernetes/KubeJson.java
@@ -46,9 +46,20 @@
     /** The path of what is wrong, empty if it is the whole. */
     private final String path;
 
+    private final Refusal.Cause kind;
+
     public Malformed(String path, String why) {
+      this(path, Refusal.Cause.TYPE, why);
+    }
+
+    Malformed(String path, Refusal.Cause cause, String why) {
       super(why, null, false, false);
       this.path = path;
+      this.kind = cause;
+    }
+
+    public Refusal.Cause kind() {
+      return kind;
     }
 
     public String path() {
@@ -97,7 +108,7 @@
       String text = e.getOriginalMessage();
       if (text != null && text.startsWith("Duplicate field")) {
         String path = Paths.dotted(parser.getParsingContext().pathAsPointer().toString());
-        throw new Malformed(path, "the key is there twice");
+        throw new Malformed(path, Refusal.Cause.DUPLICATE, "the key is there twice");
       }
       throw new Malformed("", "not JSON at line " + e.getLocation().getLineNr());
     } catch (IOException | RuntimeException e) {
--- a/src/test/java/io/violetrail/fakes/World.java
+++ b/src/test/java/io/violetrail/fakes/World.java
@@ -257,7 +257,7 @@
         timeoutS,
         () -> {
           if (!future.isDone() && alive(from, life)) {
-            timeOut(from, life, future);
+            back(from, life, () -> future.completeExceptionally(new IOException("time out")));
           }
         });
     Runnable deliver =
@@ -273,7 +273,12 @@
                         DELAY_S,
                         () -> {
                           if (!cut.contains(from) && !cut.contains(to.host())) {
-                            reach(from, life, future, answer);
+                            back(
+                                from,
+                                life,
+                                () ->
+                                    future.complete(
+                                        new Http.Reply(answer.status(), answer.body())));
                           }
                         }));
           }
@@ -293,32 +298,12 @@
     return future;
   }
 
-  private void timeOut(String from, int life, CompletableFuture<Http.Reply> future) {
-    Runnable fail =
-        () -> {
-          if (!future.isDone()) {
-            future.completeExceptionally(new IOException("time out"));
-          }
-        };
-    if (life < 0) {
-      fail.run();
-    } else {
-      awake(from, life, fail);
-    }
-  }
-
-  private void reach(
-      String from, int life, CompletableFuture<Http.Reply> future, Service.Answer answer) {
-    Runnable complete =
-        () -> {
-          if (!future.isDone()) {
-            future.complete(new Http.Reply(answer.status(), answer.body()));
-          }
-        };
+  /** What comes back to a caller: a controller hears of it when it is awake. */
+  private void back(String from, int life, Runnable task) {
     if (life < 0) {
-      complete.run();
+      task.run();
     } else {
-      awake(from, life, complete);
+      awake(from, life, task);
     }
   }
 
--- a/src/test/java/io/violetrail/stories/KubernetesTest.java
+++ b/src/test/java/io/violetrail/stories/KubernetesTest.java
@@ -456,6 +456,18 @@
     assertEquals(200, new User(world).send("c0", "GET", "/traces", null).status());
   }
 
+  @Test
+  void whileTheMachineTypesAreUnknownNothingIsSaidNeverToRun() {
+    // Nothing fits types that nobody knows: a Job was refused for good where a native one may wait.
+    world.cloud.down = true;
+    up();
+    assertEquals(503, client.send("c0", "POST", JOBS, job("j", 1)).code());
+    assertEquals(503, client.send("c0", "POST", DEPLOYMENTS, deployment("d", 1, "i")).code());
+    world.cloud.down = false;
+    world.run(5);
+    assertEquals(201, client.send("c0", "POST", JOBS, job("j", 1)).code());
+  }
+
   @Test
   void listsComeInPagesAndForALabel() {
     up();
