--- a/src/main/java/io/violetrail/api/Jobs.java
+++ b/src/main/java/io/violetrail/api/Jobs.java
@@ -55,7 +55,7 @@
 
   public Jobs(Node node) {
     this.node = node;
-    this.lookUps = new Rounds<>(id -> read(id, node.store::getForUser));
+    this.lookUps = new Rounds<>(id -> read(id, key -> node.store.getForUser(key, 2)));
   }
 
   /** A job that is over, or bound to another entity ({@code view} is null then). */
@@ -152,8 +152,8 @@
                 return CompletableFuture.completedFuture(new Found(null, null, null));
               }
               ControllerId entity = new ControllerId(claim.value().path("entity").asText());
-              return reader
-                  .apply(Rows.page(entity, claim.value().path("page").asText()))
+              return node.store
+                  .getNow(Rows.page(entity, claim.value().path("page").asText()))
                   .thenApply(page -> found(id, entity, amounts(claim.value()), page));
             });
   }
--- a/src/main/java/io/violetrail/fleet/Hires.java
+++ b/src/main/java/io/violetrail/fleet/Hires.java
@@ -167,7 +167,9 @@
     Holding h = hire.holding;
     List<MachineRow> rows = new ArrayList<>();
     for (MachineId id : machines) {
-      if (node.directory.machine(id) == null) {
+      // A request's row may come back by a late write after it was dropped; the cloud's answer to
+      // its repeat then names machines that are long gone.
+      if (node.directory.machine(id) == null && !node.directory.wasReturned(id)) {
         Offer o = hire.offer;
         rows.add(
             new MachineRow(
--- a/src/main/java/io/violetrail/fleet/Machine.java
+++ b/src/main/java/io/violetrail/fleet/Machine.java
@@ -59,6 +59,9 @@
   public boolean returning;
   public boolean silent;
 
+  /** It reports, but a launch did not arrive there, and its worker has not answered since. */
+  public boolean unreached;
+
   /** Promised to another entity until then; nothing starts here meanwhile. */
   public boolean promised;
 
@@ -171,7 +174,14 @@
 
   /** Whether new tasks may be decided for this machine. */
   public boolean open() {
-    return row.up() && heard && !draining && !returning && !silent && !promised && noticeS == null;
+    return row.up()
+        && heard
+        && !draining
+        && !returning
+        && !silent
+        && !unreached
+        && !promised
+        && noticeS == null;
   }
 
   /** Seconds of full use so far, by the scarcer of processors and accelerators. */
--- a/src/main/java/io/violetrail/node/Node.java
+++ b/src/main/java/io/violetrail/node/Node.java
@@ -35,6 +35,7 @@
 import io.violetrail.worker.Beats;
 import io.violetrail.worker.Halts;
 import io.violetrail.worker.Hearing;
+import io.violetrail.worker.Unreached;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -47,6 +48,7 @@
 /** One controller: its parts, and what happens when entities come and go. */
 public final class Node implements Membership.Listener {
   private static final Logger LOG = LoggerFactory.getLogger(Node.class);
+  private static final double TELL_S = 2;
 
   public final Settings settings;
   public final Options options;
@@ -66,6 +68,7 @@
   public final Beats beats;
   public final Hearing hearing;
   public final Halts halts;
+  public final Unreached unreached;
   public final Estimates estimates = new Estimates();
 
   /** Serves paths of what is switched on beside; null if nothing is. */
@@ -92,6 +95,7 @@
     this.jobs = new Jobs(this);
     this.intake = new Intake(this);
     this.halts = new Halts(this, http);
+    this.unreached = new Unreached(this, http);
     this.dispatcher = new Dispatcher(this);
     this.peers = new Peers(this, http);
     this.sharing = new Sharing(this);
@@ -110,6 +114,20 @@
     dispatcher.start();
     fleet.start();
     hearing.start();
+    unreached.start();
+    loop.every(TELL_S, this::tell);
+  }
+
+  /**
+   * A former owner that the state service refuses learns of a seizure from its peers alone, and one
+   * message may be lost: it is told until its grace is over in any case.
+   */
+  private void tell() {
+    for (Holding h : membership.holdings()) {
+      if (!h.calm && loop.seconds() - h.gainedS < timing.ttlS() + timing.graceS()) {
+        peers.announce(h);
+      }
+    }
   }
 
   /** The type as last told by the cloud or stored by a controller; null if not known. */
--- a/src/main/java/io/violetrail/ownership/Directory.java
+++ b/src/main/java/io/violetrail/ownership/Directory.java
@@ -6,6 +6,7 @@
 import io.violetrail.config.Settings;
 import io.violetrail.model.ControllerId;
 import io.violetrail.model.MachineId;
+import io.violetrail.model.Version;
 import io.violetrail.ownership.Rows.EntityRow;
 import io.violetrail.ownership.Rows.MachineRow;
 import io.violetrail.wire.StateWire.Change;
@@ -26,6 +27,7 @@
   private final Settings settings;
   private final Map<ControllerId, Long> alive = new HashMap<>();
   private final Map<ControllerId, EntityRow> entities = new HashMap<>();
+  private final Map<ControllerId, Version> told = new HashMap<>();
   private final Map<MachineId, MachineRow> machines = new HashMap<>();
 
   /** The same machines by entity, since owners go through theirs with every change. */
@@ -204,15 +206,29 @@
     return List.copyOf(entities.values());
   }
 
-  /** The owner that the row names; null if there is no row. */
+  /**
+   * A peer holds an entity under that version. Its row may not be readable here, or not yet; where
+   * workers and questions go follows the highest version known, what is taken or written the row.
+   */
+  public void told(ControllerId entity, Version version) {
+    told.merge(entity, version, (a, b) -> a.compareTo(b) >= 0 ? a : b);
+  }
+
+  /** The owner by the highest version known; null if there is none. */
   public ControllerId ownerOf(ControllerId entity) {
     EntityRow row = entities.get(entity);
-    return row == null ? null : owner(row);
+    Version heard = told.get(entity);
+    boolean newer = heard != null && (row == null || heard.compareTo(row.version()) > 0);
+    return newer ? owner(heard) : row == null ? null : owner(row);
   }
 
   public ControllerId owner(EntityRow row) {
+    return owner(row.version());
+  }
+
+  private ControllerId owner(Version version) {
     List<ControllerId> all = settings.controllers();
-    return row.version().owner() < all.size() ? all.get(row.version().owner()) : null;
+    return version.owner() < all.size() ? all.get(version.owner()) : null;
   }
 
   public MachineRow machine(MachineId id) {
--- a/src/main/java/io/violetrail/ownership/Membership.java
+++ b/src/main/java/io/violetrail/ownership/Membership.java
@@ -460,18 +460,11 @@
 
   /** A peer says that an entity has moved; versions only grow, so a higher one is believed. */
   public void told(ControllerId entity, Version version) {
+    directory.told(entity, version);
     Holding h = holdings.get(entity);
     if (h != null && version.compareTo(h.row.version()) > 0) {
       drop(h, "a peer knows version " + version);
       relist();
     }
   }
-
-  /** Versions of all that is held, for peers. */
-  public Map<String, Long> versions() {
-    Map<String, Long> all = new HashMap<>();
-    new ArrayList<>(holdings.values())
-        .forEach(h -> all.put(h.entity().value(), h.row.version().value()));
-    return all;
-  }
 }
--- a/src/main/java/io/violetrail/peer/Peers.java
+++ b/src/main/java/io/violetrail/peer/Peers.java
@@ -174,20 +174,15 @@
 
   /** Tells all peers what this controller holds, so that a former owner in doubt stops at once. */
   public void announce() {
-    node.membership
-        .versions()
-        .forEach(
-            (entity, version) ->
-                node.settings
-                    .peers()
-                    .keySet()
-                    .forEach(
-                        p ->
-                            call(
-                                p,
-                                new Question(
-                                    Kind.MOVED, node.settings.self().value(), entity, version),
-                                TIMEOUT_S)));
+    node.membership.holdings().forEach(this::announce);
+  }
+
+  /** Tells all peers of one entity that is held here. */
+  public void announce(Holding h) {
+    Question q =
+        new Question(
+            Kind.MOVED, node.settings.self().value(), h.entity().value(), h.row.version().value());
+    node.settings.peers().keySet().forEach(p -> call(p, q, TIMEOUT_S));
   }
 
   /** Asks all peers for machines or slices that an entity held here lacks. */
--- a/src/main/java/io/violetrail/state/StateStore.java
+++ b/src/main/java/io/violetrail/state/StateStore.java
@@ -134,7 +134,16 @@
    * questions about jobs that nobody submitted must not use up what renewals and moves need.
    */
   public CompletableFuture<Entry> getForUser(String key) {
-    return asked.take(1, loop.seconds()) ? get(key) : busy();
+    return getForUser(key, 1);
+  }
+
+  /**
+   * The first of so many reads that follow from one question, all paid for here. Where each had to
+   * find its own in the budget, a rush of questions used it up with first reads, and hardly any
+   * question was answered.
+   */
+  public CompletableFuture<Entry> getForUser(String key, int reads) {
+    return asked.take(reads, loop.seconds()) ? get(key) : busy();
   }
 
   /** Some keys of a prefix with the revision they are as of; {@code more}: others come after. */
--- a/src/main/java/io/violetrail/worker/Beats.java
+++ b/src/main/java/io/violetrail/worker/Beats.java
@@ -391,6 +391,9 @@
       // Sent in the answer to an earlier report and not in this newer one: it was never taken, or
       // is over.
       if (!p.revocable() && !present.contains(p.task()) && m.task(p.task()) == p) {
+        if (p.state == null && p.haltGraceS < 0) {
+          node.unreached.doubt(m);
+        }
         LOG.debug("task {} try {} is no longer on {}", p.task(), p.attempt, m.id());
         holding.unplace(p, now);
       }
--- a/src/test/java/io/violetrail/fakes/FakeState.java
+++ b/src/test/java/io/violetrail/fakes/FakeState.java
@@ -99,8 +99,13 @@
     }
   }
 
+  /** How long each answer takes; open watches are not concerned. */
+  public double slowS;
+
   @Override
-  public void handle(String method, String from, byte[] bytes, Consumer<Answer> done) {
+  public void handle(String method, String from, byte[] bytes, Consumer<Answer> told) {
+    double slow = from.contains(" /changes") ? 0 : slowS;
+    Consumer<Answer> done = slow == 0 ? told : a -> world.at(slow, () -> told.accept(a));
     String who = from.substring(0, from.indexOf(' '));
     String path = from.substring(from.indexOf(' ') + 1);
     expire();
--- a/src/test/java/io/violetrail/fakes/FakeWorker.java
+++ b/src/test/java/io/violetrail/fakes/FakeWorker.java
@@ -8,6 +8,7 @@
 import io.violetrail.net.Service;
 import io.violetrail.wire.Cbor;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -46,6 +47,10 @@
 
   public Double noticeS;
   public int launches;
+
+  /** Launches that were sent to it and that it did not hear. */
+  public int unheard;
+
   private String node;
   private int at;
   private long session = 1;
@@ -221,6 +226,7 @@
         .whenComplete(
             (r, failure) -> {
               if (deaf && failure == null) {
+                unheard += launches(r);
                 world.at(ANSWER_S, () -> answered(null, LOST, target, sent, inSession));
               } else {
                 answered(r, failure, target, sent, inSession);
@@ -228,6 +234,12 @@
             });
   }
 
+  private static int launches(Http.Reply r) {
+    return r.body() == null
+        ? 0
+        : new String(r.body(), StandardCharsets.ISO_8859_1).split("launch", -1).length - 1;
+  }
+
   private void answered(
       Http.Reply r, Throwable failure, String target, double sent, long inSession) {
     inFlight = false;
--- a/src/test/java/io/violetrail/stories/FleetTest.java
+++ b/src/test/java/io/violetrail/stories/FleetTest.java
@@ -119,11 +119,14 @@
     world.up();
     world.cloud.capacity = 20;
     user.submit("c0", User.job("job-1", 40));
-    var versions = world.nodes.get("c1").membership.versions();
+    var rows = world.nodes.get("c1").membership.holdings().stream().map(h -> h.row).toList();
     world.hold(m -> m.matches("c[0-2] c[0-2] .*"));
     world.run(60);
     world.release();
-    assertEquals(versions, world.nodes.get("c1").membership.versions(), "nothing moves to and fro");
+    assertEquals(
+        rows,
+        world.nodes.get("c1").membership.holdings().stream().map(h -> h.row).toList(),
+        "nothing moves to and fro");
     world.until(120, () -> user.poll("c2", "job-1").equals("done"));
   }
 }
