Reports with absurd counters or contradictory attempts get 400 and change nothing

A report with a count near the end of its numbers would have made all later ones of its machine look old, or taken its term to where the next version overflows. Stories: eleven broken reports, a task of no open job.

--- a/src/main/java/io/violetrail/wire/BeatWire.java
+++ b/src/main/java/io/violetrail/wire/BeatWire.java
@@ -7,8 +7,10 @@
 import io.violetrail.model.Version;
 import io.violetrail.wire.Cbor.Malformed;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** The workers' messages. */
 public final class BeatWire {
@@ -96,12 +98,27 @@
           "unknown",
           Why.UNKNOWN);
 
+  /**
+   * Sessions, reports, terms and attempts are far below this on any machine. A report with a
+   * greater one is broken; believed, it would make all later reports of its machine look old, or
+   * take terms to the end of their numbers.
+   */
+  private static final long MOST = 1L << 53;
+
   public static Beat beat(JsonNode m) throws Malformed {
     List<Piece> pieces = new ArrayList<>();
+    Set<String> seen = new HashSet<>();
     JsonNode list = Cbor.present(m, "pieces");
+    if (list != null && !list.isArray()) {
+      throw new Malformed("pieces must be a list");
+    }
     if (list != null) {
       for (JsonNode p : list) {
-        pieces.add(piece(p));
+        Piece piece = piece(p);
+        if (!seen.add(piece.task() + " " + piece.attempt())) {
+          throw new Malformed("an attempt stands twice in the report");
+        }
+        pieces.add(piece);
       }
     }
     Double notice =
@@ -112,13 +129,21 @@
         Cbor.text(m, "hosttype"),
         Cbor.text(m, "yard"),
         Cbor.flag(m, "loaners"),
-        Cbor.count(m, "tenure"),
-        Cbor.count(m, "tick"),
-        new Version(Cbor.present(m, "baton") == null ? 0 : Cbor.count(m, "baton")),
+        count(m, "tenure"),
+        count(m, "tick"),
+        new Version(Cbor.present(m, "baton") == null ? 0 : count(m, "baton")),
         notice,
         pieces);
   }
 
+  private static long count(JsonNode m, String field) throws Malformed {
+    long value = Cbor.count(m, field);
+    if (value > MOST) {
+      throw new Malformed(field + " is out of range");
+    }
+    return value;
+  }
+
   private static Piece piece(JsonNode p) throws Malformed {
     TaskId task = TaskId.parse(Cbor.text(p, "piece"));
     State state = STATES.get(Cbor.text(p, "status"));
@@ -130,7 +155,7 @@
             ? WHYS.getOrDefault(Cbor.textOr(p, "cause", "error"), Why.ERROR)
             : null;
     JsonNode kept = Cbor.present(p, "kept");
-    return new Piece(task, Cbor.count(p, "try"), state, why, kept != null && kept.asBoolean());
+    return new Piece(task, count(p, "try"), state, why, kept != null && kept.asBoolean());
   }
 
   public static ObjectNode reply(Version token, List<Order> orders) {
--- a/src/test/java/io/violetrail/fakes/CheckerTest.java
+++ b/src/test/java/io/violetrail/fakes/CheckerTest.java
@@ -74,7 +74,7 @@
     assertEquals(List.of(), world.broken);
     // Its lease is over by then unless somebody renews it.
     one.answered(world.now());
-    one.pieces("job-1/0");
+    one.given("job-1/0");
     world.run(2);
     breaks("ran_cancelled");
   }
--- a/src/test/java/io/violetrail/fakes/FakeWorker.java
+++ b/src/test/java/io/violetrail/fakes/FakeWorker.java
@@ -182,8 +182,8 @@
     answered = at;
   }
 
-  /** For tests of the checker: it has a task, whatever it was told. */
-  void pieces(String task) {
+  /** It has a task, whatever it was told. */
+  public void given(String task) {
     Piece p = new Piece();
     p.task = task;
     p.status = "running";
--- a/src/test/java/io/violetrail/stories/MeetingsTest.java
+++ b/src/test/java/io/violetrail/stories/MeetingsTest.java
@@ -5,10 +5,15 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.violetrail.config.Settings.StateLimits;
 import io.violetrail.config.Settings.Team;
 import io.violetrail.fakes.FakeWorker;
 import io.violetrail.fakes.User;
 import io.violetrail.fakes.World;
+import io.violetrail.model.ControllerId;
+import io.violetrail.wire.Cbor;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
@@ -154,7 +159,7 @@
   @Test
   void aRushOfQuestionsAboutForgottenJobsIsAnsweredAtTheRateOfTheBudget() {
     // First reads used up what the second reads needed, and hardly any question was answered.
-    world.stateLimits = new io.violetrail.config.Settings.StateLimits(60, 60, 8192, 24);
+    world.stateLimits = new StateLimits(60, 60, 8192, 24);
     world.up();
     List<String> jobs = new ArrayList<>();
     for (int i = 0; i < 40; i++) {
@@ -470,10 +475,9 @@
     String first = World.name(owner("c0"));
     String second = first.equals("c1") ? "c2" : "c1";
     var node = world.nodes.get(first);
-    var entity = new io.violetrail.model.ControllerId("c0");
+    var entity = new ControllerId("c0");
     world.until(5, () -> node.membership.holding(entity).active());
-    node.membership.release(
-        node.membership.holding(entity), new io.violetrail.model.ControllerId(second));
+    node.membership.release(node.membership.holding(entity), new ControllerId(second));
     world.until(5, () -> owner("c0") == Integer.parseInt(second.substring(1)));
     world.run(60);
     world.cloud.down = false;
@@ -529,9 +533,9 @@
     var node = world.nodes.get("c0");
     var h = node.membership.own();
     world.hold(m -> m.startsWith("c0 state POST /txn"));
-    world.ask("user", "c0", "POST", "/work", io.violetrail.wire.Cbor.bytes(User.job("job-1", 1)));
+    world.ask("user", "c0", "POST", "/work", Cbor.bytes(User.job("job-1", 1)));
     world.run(0.3);
-    node.membership.release(h, new io.violetrail.model.ControllerId("c1"));
+    node.membership.release(h, new ControllerId("c1"));
     // The target ends and comes back before the hand-over arrives: its alive key is another one.
     world.kill("c1");
     world.run(0.2);
@@ -540,4 +544,61 @@
     world.release();
     done(120, "job-1");
   }
+
+  // Bad input on these paths changes nothing.
+
+  private static ObjectNode report(FakeWorker w) {
+    ObjectNode m = Cbor.map().put("host", w.id).put("endpoint", w.id + ":9000");
+    m.put("hosttype", "plain").put("yard", "a").put("loaners", false);
+    m.put("tenure", 1).put("tick", 1_000_000).put("baton", 0);
+    m.putArray("pieces");
+    return m;
+  }
+
+  private static ObjectNode with(ObjectNode m, String task, Object attempt, String status) {
+    ObjectNode p = ((ArrayNode) m.get("pieces")).addObject().put("piece", task);
+    p.set("try", Cbor.map().pojoNode(attempt));
+    p.put("status", status);
+    return m;
+  }
+
+  @Test
+  void brokenReportsGet400AndChangeNothing() {
+    world.up();
+    user.submit("c0", User.job("job-1", 1).put("guess_s", 60.0));
+    FakeWorker w = runs("job-1/0");
+    w.runs.put("job-1/0", 60.0);
+    world.run(3);
+    List<ObjectNode> broken =
+        List.of(
+            report(w).put("tenure", -1),
+            report(w).put("tick", Long.MAX_VALUE),
+            report(w).put("baton", Long.MAX_VALUE - 3),
+            report(w).put("tick", 1.5),
+            report(w).put("pieces", "all"),
+            with(report(w), "job-1/-1", 1, "running"),
+            with(report(w), "job-1/99999999999", 1, "running"),
+            with(report(w), "job-1/0", -7, "running"),
+            with(report(w), "job-1/0", 1, "sleeping"),
+            with(with(report(w), "job-1/0", 1, "running"), "job-1/0", 1, "ended"));
+    for (ObjectNode m : broken) {
+      var reply = user.send("c0", "POST", "/agent/beat", Cbor.bytes(m));
+      assertEquals(400, reply.status(), m.toString());
+    }
+    assertEquals(400, user.send("c0", "POST", "/agent/beat", new byte[] {1, 2, 3}).status());
+    int before = world.launches.size();
+    done(90, "job-1");
+    assertEquals(before, world.launches.size(), "nothing was started again");
+  }
+
+  @Test
+  void aReportOfUnknownTasksGetsABoundedAnswer() {
+    world.up();
+    FakeWorker w = world.cloud.given("plain", "a");
+    world.run(5);
+    w.given("job-404/0");
+    world.run(8);
+    assertFalse(w.has("job-404/0"), "what belongs to no open job is halted");
+    assertEquals("404", user.poll("c0", "job-404"));
+  }
 }
