--- a/src/main/java/io/violetrail/ownership/Timing.java
+++ b/src/main/java/io/violetrail/ownership/Timing.java
@@ -55,12 +55,13 @@
   }
 
   /**
-   * What a move at that time of day leaves to the next owner. Leases that owners renewed without
-   * knowing what was over are themselves over a worker's lease after the last such renewal: then
-   * the count begins anew.
+   * What a move at that time of day leaves to the next owner. Leases that were renewed without
+   * knowing what was over, by owners that were still reading or that were in their grace after the
+   * seizure, are themselves over a worker's lease after the last such renewal: then the count
+   * begins anew.
    */
   public Past afterMove(Past before, long nowMs, boolean seized) {
-    double over = unknowingS + goneAfterAnswerS + clocksS;
+    double over = Math.max(unknowingS, graceS) + goneAfterAnswerS + clocksS;
     boolean anew = nowMs - before.unknownMs() > over * 1000;
     return new Past(anew ? nowMs : before.unknownMs(), seized ? nowMs : before.seizedMs());
   }
--- a/src/test/java/io/violetrail/stories/GapTest.java
+++ b/src/test/java/io/violetrail/stories/GapTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * The gap: a leader is refused by the state service, its successor confirms cancellations, then the
@@ -146,4 +147,22 @@
     assertEquals(List.of(), world.broken);
     world.release();
   }
+
+  @ParameterizedTest
+  @ValueSource(doubles = {8, 10, 12, 14, 16, 18, 20, 22})
+  void theFirstOwnersGraceIsNotFollowedByAnotherOneOfAThirdThatStillReads(double later) {
+    Workers workers = new Workers(3, 17.5, 50, 6, 37.5);
+    begin(workers);
+    world.isolate("c0");
+    String first = successor();
+    world.run(later);
+    world.kill(first);
+    String second = first.equals("c1") ? "c2" : "c1";
+    world.hold(m -> m.contains("GET /keys?under=open/c0"));
+    world.run(workers.cancelS() * 2);
+    assertEquals(List.of(), world.broken);
+    assertTrue(world.nodes.get(second).membership.holdings().size() > 1);
+    world.rejoin();
+    world.release();
+  }
 }
