--- a/src/main/java/io/violetrail/scheduling/Waiting.java
+++ b/src/main/java/io/violetrail/scheduling/Waiting.java
@@ -4,6 +4,7 @@
 import io.violetrail.model.Amounts;
 import io.violetrail.ownership.Holding;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -15,6 +16,14 @@
 final class Waiting {
   private static final double KEPT_S = 0.5;
 
+  /**
+   * So long at most a job waits for its first task because others fit in time and it does not.
+   * While there was more work than room, the largest made way without end: a third of the widest
+   * arrays and gangs of a bad day had not begun after four minutes. Twice the longest boot leaves
+   * those that wait for machines alone out of this.
+   */
+  private static final double LONGEST_S = 120;
+
   private final Holding h;
   private final Aims aims;
   private final Estimates estimates;
@@ -53,7 +62,12 @@
     for (List<Job> jobs : kinds.values()) {
       double room = room(jobs.get(0));
       List<InTime.Due> dues = new ArrayList<>();
+      List<Job> longest = new ArrayList<>();
       for (Job job : jobs) {
+        if (waitsTooLong(job, now)) {
+          longest.add(job);
+          continue;
+        }
         double run = estimates.runS(job.spec);
         // What fails wherever it goes comes after all that may be in time.
         boolean suspect = job.trial.suspect();
@@ -61,11 +75,22 @@
         double work = job.unplaced() * run * amount(job.spec.task(), accelerated(job)) / room;
         dues.add(new InTime.Due(job, due, work, run));
       }
+      // Only until it has begun: then it makes way again, task by task.
+      longest.sort(Comparator.comparingDouble(j -> j.arrivedS));
+      order.addAll(longest);
       InTime.order(dues, now).forEach(d -> order.add(d.job()));
     }
     return order;
   }
 
+  private static boolean waitsTooLong(Job job, double now) {
+    return now - job.arrivedS > LONGEST_S
+        && job.nothingPlaced()
+        && job.doneCount() == 0
+        && !job.spareWork
+        && !job.trial.suspect();
+  }
+
   private static boolean accelerated(Job job) {
     return job.spec.task().gpus() > 0;
   }
--- a/src/test/java/io/violetrail/scheduling/UrgencyTest.java
+++ b/src/test/java/io/violetrail/scheduling/UrgencyTest.java
@@ -89,4 +89,16 @@
             .order(50).stream().map(j -> j.spec.id().value()).toList();
     assertEquals(List.of("job-3", "job-2", "job-1"), order);
   }
+
+  @Test
+  void nobodyWaitsWithoutEndBecauseOthersFitInTime() {
+    // Where there is always more work than room, what is late made way for ever.
+    waits(1, 0);
+    machine(1);
+    for (int i = 2; i < 6; i++) {
+      waits(i, 500);
+    }
+    List<Job> order = new Waiting(h, aims, new Estimates()).order(510);
+    assertEquals("job-1", order.get(0).spec.id().value());
+  }
 }
