--- a/src/main/java/io/violetrail/scheduling/Waiting.java
+++ b/src/main/java/io/violetrail/scheduling/Waiting.java
@@ -2,6 +2,7 @@
 
 import io.violetrail.fleet.Machine;
 import io.violetrail.model.Amounts;
+import io.violetrail.model.Shape;
 import io.violetrail.ownership.Holding;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -17,12 +18,12 @@
   private static final double KEPT_S = 0.5;
 
   /**
-   * So long at most a job waits for its first task because others fit in time and it does not.
-   * While there was more work than room, the largest made way without end: a third of the widest
-   * arrays and gangs of a bad day had not begun after four minutes. Twice the longest boot leaves
-   * those that wait for machines alone out of this.
+   * So long at most an array waits for its first task because others fit in time and it does not.
+   * While there was more work than room, the widest made way without end: a third of them had not
+   * begun after four minutes of a bad day. Sooner than after three, too many went before those that
+   * could still be in time. A gang is not helped by going first: its room is never free at once.
    */
-  private static final double LONGEST_S = 120;
+  private static final double LONGEST_S = 180;
 
   private final Holding h;
   private final Aims aims;
@@ -85,6 +86,7 @@
 
   private static boolean waitsTooLong(Job job, double now) {
     return now - job.arrivedS > LONGEST_S
+        && job.spec.shape() == Shape.ARRAY
         && job.nothingPlaced()
         && job.doneCount() == 0
         && !job.spareWork
