--- a/src/main/java/io/violetrail/scheduling/Dispatcher.java
+++ b/src/main/java/io/violetrail/scheduling/Dispatcher.java
@@ -336,7 +336,7 @@
     Amounts task = job.spec.task();
     Map<String, Integer> perZone = Placer.perZone(job);
     boolean zones = job.spec.oneZone() || job.spec.spread();
-    int allowed = Math.min(quota.count(task), job.mayStart(now));
+    int allowed = Math.min(quota.count(task), job.toBegin ? 1 : job.mayStart(now));
     int placed = 0;
     List<Machine> fitting = null;
     Machine m = null;
@@ -358,6 +358,7 @@
         }
       }
       h.place(new Placement(job, i, m, h.newAttempt(), now));
+      job.toBegin = false;
       placed(m);
       placed++;
       if (zones) {
--- a/src/main/java/io/violetrail/scheduling/Job.java
+++ b/src/main/java/io/violetrail/scheduling/Job.java
@@ -89,6 +89,9 @@
     return spec.tasks() - taken.cardinality();
   }
 
+  /** It has waited too long for its first task, and goes before others for that one alone. */
+  public boolean toBegin;
+
   /**
    * How many of its tasks may be started now. A suspect job gets one probe (a gang is one), and
    * nothing during its pauses.
--- a/src/main/java/io/violetrail/scheduling/Waiting.java
+++ b/src/main/java/io/violetrail/scheduling/Waiting.java
@@ -65,7 +65,8 @@
       List<InTime.Due> dues = new ArrayList<>();
       List<Job> longest = new ArrayList<>();
       for (Job job : jobs) {
-        if (waitsTooLong(job, now)) {
+        job.toBegin = waitsTooLong(job, now);
+        if (job.toBegin) {
           longest.add(job);
           continue;
         }
@@ -76,7 +77,7 @@
         double work = job.unplaced() * run * amount(job.spec.task(), accelerated(job)) / room;
         dues.add(new InTime.Due(job, due, work, run));
       }
-      // Only until it has begun: then it makes way again, task by task.
+      // Only to begin: with its first task it makes way again, so that others stay in time.
       longest.sort(Comparator.comparingDouble(j -> j.arrivedS));
       order.addAll(longest);
       InTime.order(dues, now).forEach(d -> order.add(d.job()));
