The deaf machine's story checks what it says; jobs and restarts of the stories in one place each

Found on reading the change again: whether a deaf machine is used again stood behind a condition that never held, since the machine had been returned as idle by then. It is the only machine now: it is tried, not filled, starts nothing while it hears nothing, and then runs all sixteen tasks, once each.

--- a/src/test/java/io/violetrail/stories/MeetingsTest.java
+++ b/src/test/java/io/violetrail/stories/MeetingsTest.java
@@ -37,6 +37,26 @@
     return world.cloud.running(task).get(0);
   }
 
+  /** So many jobs of so many tasks, each taken in by one controller after the other. */
+  private List<String> accepted(int count, int tasks) {
+    List<String> jobs = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      String id = "job-" + i;
+      String at = World.name(i % 3);
+      world.until(20, () -> user.submit(at, User.job(id, tasks)) / 100 == 2);
+      jobs.add(id);
+    }
+    return jobs;
+  }
+
+  private void startThoseThatEnded() {
+    for (int i = 0; i < 3; i++) {
+      if (!world.nodes.containsKey(World.name(i))) {
+        world.start(World.name(i));
+      }
+    }
+  }
+
   private int owner(String entity) {
     return (int) (world.state.value("c/entity/" + entity).get("version").asLong() % 10);
   }
@@ -199,11 +219,7 @@
   void aSlowStateServiceIsNotTakenForAnOutage() {
     world.up();
     world.state.slowS = 0.4;
-    for (int i = 0; i < 6; i++) {
-      String id = "job-" + i;
-      String at = World.name(i % 3);
-      world.until(20, () -> user.submit(at, User.job(id, 2)) / 100 == 2);
-    }
+    accepted(6, 2);
     user.abort("c1", "job-0");
     world.run(20);
     for (int i = 0; i < 3; i++) {
@@ -296,13 +312,7 @@
     user = new User(world);
     Random random = new Random(seed);
     world.up();
-    List<String> jobs = new ArrayList<>();
-    for (int i = 0; i < 12; i++) {
-      String id = "job-" + i;
-      String at = World.name(i % 3);
-      world.until(20, () -> user.submit(at, User.job(id, 3)) / 100 == 2);
-      jobs.add(id);
-    }
+    List<String> jobs = accepted(12, 3);
     for (int step = 0; step < 160; step++) {
       List<FakeWorker> all = List.copyOf(world.cloud.workers.values());
       for (int i = 0; i < 4 && !all.isEmpty(); i++) {
@@ -315,11 +325,7 @@
       if (step % 20 == 7 && world.nodes.size() == 3) {
         world.kill(name);
       } else if (step % 20 == 15) {
-        for (int i = 0; i < 3; i++) {
-          if (!world.nodes.containsKey(World.name(i))) {
-            world.start(World.name(i));
-          }
-        }
+        startThoseThatEnded();
       }
       world.run(0.5);
     }
@@ -330,31 +336,23 @@
 
   @Test
   void aDeafMachineIsNotFilledAndIsUsedAgainOnceItHears() {
+    // The only machine there is, so that nothing else takes the work and it is not idle for long.
+    world.cloud.capacity = 1;
     world.up();
     FakeWorker w = world.cloud.given("plain", "a");
+    w.runS = 5;
     world.run(6);
     w.deaf = true;
     for (int i = 0; i < 4; i++) {
-      user.submit("c0", User.job("job-" + i, 4).put("guess_s", 5.0));
-    }
-    world.cloud.workers.values().forEach(x -> x.runS = 5);
-    for (int i = 0; i < 4; i++) {
-      done(90, "job-" + i);
+      assertEquals(201, user.submit(w.node(), User.job("job-" + i, 4).put("guess_s", 5.0)));
     }
+    world.run(25);
+    assertTrue(w.unheard > 0, "it was tried");
     assertTrue(w.unheard <= 2 * 8, "at most one answer's launches, then another after its lease");
+    assertEquals(0, w.launches);
     w.deaf = false;
-    world.run(20);
-    if (world.cloud.workers.containsKey(w.id)) {
-      world.cloud.capacity = 0;
-      world.cloud.workers.values().stream().filter(x -> x != w).forEach(x -> x.faulty = false);
-      int before = world.launches.size();
-      user.submit(w.node(), User.job("job-9", 30).put("guess_s", 5.0));
-      world.until(
-          60,
-          () ->
-              world.launches.subList(before, world.launches.size()).stream()
-                  .anyMatch(l -> l.endsWith(w.id)));
-    }
+    done(90, "job-0", "job-1", "job-2", "job-3");
+    assertEquals(16, w.launches, "used again, each task once");
   }
 
   @Test
@@ -436,13 +434,7 @@
     Random random = new Random(seed * 31);
     world.up();
     world.cloud.runS = 30;
-    List<String> jobs = new ArrayList<>();
-    for (int i = 0; i < 9; i++) {
-      String id = "job-" + i;
-      String at = World.name(i % 3);
-      world.until(20, () -> user.submit(at, User.job(id, 2)) / 100 == 2);
-      jobs.add(id);
-    }
+    List<String> jobs = accepted(9, 2);
     for (int step = 0; step < 40; step++) {
       String name = World.name(random.nextInt(3));
       if (world.nodes.containsKey(name)) {
@@ -452,11 +444,7 @@
       }
       world.run(random.nextInt(3) == 0 ? 6 * random.nextDouble() : 0.6 * random.nextDouble());
     }
-    for (int i = 0; i < 3; i++) {
-      if (!world.nodes.containsKey(World.name(i))) {
-        world.start(World.name(i));
-      }
-    }
+    startThoseThatEnded();
     world.until(40, () -> owner("c0") == 0 && owner("c1") == 1 && owner("c2") == 2);
     jobs.forEach(id -> done(300, id));
   }
