--- a/src/main/java/io/violetrail/api/Jobs.java
+++ b/src/main/java/io/violetrail/api/Jobs.java
@@ -88,6 +88,17 @@
     return bound.getIfPresent(id);
   }
 
+  /**
+   * Whether no task of the job may run on a machine of an active holding: its end is stored, or
+   * asked for by its user, or it is none of the entity's open jobs, of which the owner knows all.
+   */
+  public boolean over(Holding h, JobId id) {
+    Job job = h.jobs.get(id);
+    return job == null
+        ? ledger(h).stored(id) == null
+        : job.phase == Job.Phase.CANCELLING || job.phase == Job.Phase.OVER;
+  }
+
   /**
    * For a worker's task whose job is not open here: what is known; null while it is being looked
    * up.
@@ -200,7 +211,10 @@
                 result.completeExceptionally(Unavailable.of(failure));
               } else if (stored.fresh()) {
                 bound.put(spec.id(), h.entity());
-                if (h.active()) {
+                // Also while the entity is being handed over: if that comes to nothing it stays
+                // here,
+                // and a job that was not taken up would never run.
+                if (h.phase != Holding.Phase.LOST) {
                   h.jobs.putIfAbsent(spec.id(), job(spec, nowMs, nowS, false));
                   node.fleet.spares.arrived(spec, nowS);
                   node.dispatcher.changed(h);
--- a/src/main/java/io/violetrail/node/Node.java
+++ b/src/main/java/io/violetrail/node/Node.java
@@ -279,6 +279,8 @@
         Math.max(
             h.gainedS + (h.calm ? timing.goneAfterAnswerS() : timing.goneAfterSeizureS()),
             now + timing.goneAfterAnswerS());
+    // Handed on soon after a seizure: the owner that it was seized from may still be in its grace.
+    gone = Math.max(gone, now + timing.goneAfterLastSeizureS(h.row.past(), loop.wallMillis()));
     for (MachineRow row : directory.machinesOf(h.entity())) {
       if (add(h, row, gone) == null) {
         h.machines.clear();
--- a/src/main/java/io/violetrail/ownership/Membership.java
+++ b/src/main/java/io/violetrail/ownership/Membership.java
@@ -6,6 +6,7 @@
 import io.violetrail.model.Version;
 import io.violetrail.net.Loop;
 import io.violetrail.ownership.Rows.EntityRow;
+import io.violetrail.ownership.Rows.Past;
 import io.violetrail.state.StateStore;
 import io.violetrail.wire.Cbor;
 import io.violetrail.wire.StateWire;
@@ -160,7 +161,7 @@
       Version version =
           mine == null ? new Version(self()) : aboveTerms(me, mine.version()).nextFor(self());
       // The former process of this controller is gone; whoever was seized from before may not be.
-      next = new EntityRow(me, version, mine == null || mine.calm(), 0);
+      next = new EntityRow(me, version, mine == null || mine.calm(), past(mine, false), 0);
       txn.when(Rows.entity(me), mine == null ? 0 : mine.stamp())
           .set(Rows.entity(me), Rows.value(next, me.value()));
     }
@@ -184,14 +185,21 @@
               directory.apply(new Change(Rows.alive(me), Cbor.map(), outcome.revision()));
               LOG.info("lease {} begins, revision {}", id, outcome.revision());
               if (retaken != null) {
-                hold(
-                    new EntityRow(me, retaken.version(), retaken.calm(), outcome.revision()),
-                    retaken.calm());
+                hold(retaken.stamped(outcome.revision()), retaken.calm());
               }
               watch();
             });
   }
 
+  private Past past(EntityRow row, boolean seized) {
+    return timing.afterMove(row == null ? Past.NONE : row.past(), loop.wallMillis(), seized);
+  }
+
+  /** Whether workers' leases may be renewed while the entity's rows are still being read. */
+  public boolean mayRenewUnknowing(Holding h) {
+    return timing.mayRenewUnknowing(h.row.past(), loop.wallMillis());
+  }
+
   private void doubt(String key) {
     for (Holding h : holdings()) {
       if (Rows.entity(h.entity()).equals(key)) {
@@ -362,6 +370,7 @@
             row.entity(),
             aboveTerms(row.entity(), row.version()).nextFor(settings.indexOf(to)),
             calm,
+            past(row, true),
             0);
     Txn txn =
         new Txn()
@@ -381,7 +390,7 @@
                     row.entity(),
                     lapsed,
                     next.version());
-                hold(new EntityRow(row.entity(), next.version(), calm, outcome.revision()), calm);
+                hold(next.stamped(outcome.revision()), calm);
               } else {
                 relist();
               }
@@ -399,6 +408,7 @@
             h.entity(),
             aboveTerms(h.entity(), h.row.version()).nextFor(settings.indexOf(to)),
             true,
+            past(h.row, false),
             0);
     Txn txn =
         h.fenced()
--- a/src/main/java/io/violetrail/ownership/Rows.java
+++ b/src/main/java/io/violetrail/ownership/Rows.java
@@ -31,7 +31,23 @@
    * Owner (by the version's remainder) and version of an entity. {@code calm}: handed over, not
    * seized.
    */
-  public record EntityRow(ControllerId entity, Version version, boolean calm, long stamp) {}
+  public record EntityRow(
+      ControllerId entity, Version version, boolean calm, Past past, long stamp) {
+    public EntityRow stamped(long newStamp) {
+      return new EntityRow(entity, version, calm, past, newStamp);
+    }
+  }
+
+  /**
+   * What an entity's next owner must know of its former ones, in times of day.
+   *
+   * @param unknownMs since then workers may have been kept by owners that did not know yet which
+   *     jobs were over
+   * @param seizedMs when it was last seized: that owner may have used its grace from then on
+   */
+  public record Past(long unknownMs, long seizedMs) {
+    public static final Past NONE = new Past(0, 0);
+  }
 
   /**
    * A machine of an entity. {@code up}: it has reported, so it may hold tasks. {@code term}: the
@@ -134,7 +150,9 @@
     return Cbor.map()
         .put("owner", owner)
         .put("version", row.version().value())
-        .put("calm", row.calm());
+        .put("calm", row.calm())
+        .put("unknown", row.past().unknownMs())
+        .put("seized", row.past().seizedMs());
   }
 
   public static EntityRow entity(String key, JsonNode v, long stamp) {
@@ -142,6 +160,7 @@
         new ControllerId(key.substring(ENTITY.length())),
         new Version(v.path("version").asLong()),
         v.path("calm").asBoolean(),
+        new Past(v.path("unknown").asLong(), v.path("seized").asLong()),
         stamp);
   }
 
--- a/src/main/java/io/violetrail/worker/Beats.java
+++ b/src/main/java/io/violetrail/worker/Beats.java
@@ -15,6 +15,7 @@
 import io.violetrail.node.Node;
 import io.violetrail.ownership.Holding;
 import io.violetrail.ownership.Rows.MachineRow;
+import io.violetrail.ownership.Timing;
 import io.violetrail.scheduling.Blame;
 import io.violetrail.scheduling.Job;
 import io.violetrail.scheduling.Placement;
@@ -30,6 +31,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -72,6 +74,7 @@
 
   private final double startedS;
   private final Parked parked;
+  private final Newest newest = new Newest();
 
   public Beats(Node node, Jobs jobs) {
     this.node = node;
@@ -88,6 +91,10 @@
       done.accept(Answer.error(400, e.getMessage()));
       return;
     }
+    if (!newest.take(beat)) {
+      done.accept(Answer.of(200, BeatWire.stay()));
+      return;
+    }
     node.hearing.heard(beat);
     Parked.Report before = parked.take(beat.machine());
     if (before != null) {
@@ -112,7 +119,7 @@
     if (machine == null) {
       Version token =
           holding.row.version().compareTo(row.term()) >= 0 ? holding.row.version() : row.term();
-      done.accept(Answer.of(200, BeatWire.reply(token, List.of())));
+      done.accept(renew(holding, token, beat, List.of()));
       return;
     }
     List<Order> orders = new ArrayList<>();
@@ -124,6 +131,35 @@
     }
   }
 
+  /**
+   * Renews a worker's lease, which is done here and nowhere else: with the same answer it is told
+   * to halt what its report shows of jobs that are over. It takes both or neither, so no lease is
+   * kept for a task whose end this owner knows, whether its own lease stands or is in doubt.
+   *
+   * <p>An owner that has not read its entity's rows yet knows no ends. Then only workers without
+   * tasks are sure of their lease; the others are for {@link Timing#unknowingS} at most, and stay
+   * here while theirs run on.
+   */
+  private Answer renew(Holding h, Version token, Beat beat, List<Order> orders) {
+    if (!h.active()) {
+      boolean holds = beat.pieces().stream().anyMatch(p -> p.state() != State.EXITED);
+      return Answer.of(
+          200,
+          holds && !node.membership.mayRenewUnknowing(h)
+              ? BeatWire.stay()
+              : BeatWire.reply(token, List.of()));
+    }
+    Set<Order> all = new LinkedHashSet<>();
+    for (Piece p : beat.pieces()) {
+      if (p.state() != State.EXITED && jobs.over(h, p.task().job())) {
+        all.add(new Order(Verb.HALT, p.task(), p.attempt(), 0));
+      }
+    }
+    all.addAll(orders);
+    return Answer.of(
+        200, BeatWire.reply(token, List.copyOf(all).subList(0, Math.min(MAX_ORDERS, all.size()))));
+  }
+
   /**
    * Whether the worker has nothing to run and nothing to learn but what it may forget, or room was
    * made there for a job that waits for other machines: then the answer waits for what is to start.
@@ -171,7 +207,7 @@
       if (newest && node.membership.valid() && holding.active()) {
         command(m, now, orders);
       }
-      r.done().accept(Answer.of(200, BeatWire.reply(holding.token(m), orders)));
+      r.done().accept(renew(holding, holding.token(m), r.beat(), orders));
     }
   }
 
@@ -281,13 +317,13 @@
       node.raiseTerm(holding, m, beat.token());
       return Answer.of(421, BeatWire.elsewhere(null));
     }
+    if (!beat.newerThan(m.session, m.seq)) {
+      return Answer.of(200, BeatWire.stay());
+    }
     double now = node.loop.seconds();
     m.heardS = now;
     m.answeredS = now;
     m.endpoint = HostPort.parse(beat.endpoint());
-    if (!beat.newerThan(m.session, m.seq)) {
-      return Answer.of(200, BeatWire.reply(token, List.of()));
-    }
     if (!m.row.up()) {
       node.markUp(holding, m);
     }
@@ -305,7 +341,7 @@
         m.seq = beat.seq();
         command(m, now, first);
       }
-      return Answer.of(200, BeatWire.reply(token, first));
+      return renew(holding, token, beat, first);
     }
     int before = m.tasks().size();
     boolean wasOpen = m.open();
@@ -316,7 +352,7 @@
     m.heard = true;
     m.silent = false;
     if (!node.membership.valid() || !holding.active()) {
-      return Answer.of(200, BeatWire.reply(token, List.of()));
+      return renew(holding, token, beat, List.of());
     }
     node.dispatcher.drain(m);
     if (m.tasks().size() < before) {
@@ -329,9 +365,7 @@
       node.dispatcher.wake();
     }
     command(m, now, orders);
-    return Answer.of(
-        200,
-        BeatWire.reply(token, orders.size() > MAX_ORDERS ? orders.subList(0, MAX_ORDERS) : orders));
+    return renew(holding, token, beat, orders);
   }
 
   /** Brings the picture of a machine in line with its newest report. */
--- /dev/null
+++ b/src/test/java/io/violetrail/fakes/Checker.java
@@ -0,0 +1,209 @@
+package io.violetrail.fakes;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.violetrail.config.Settings.Team;
+import io.violetrail.net.Http;
+import io.violetrail.wire.Cbor;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+
+/**
+ * The protocol's rules, checked on what users are told and on what workers start. It knows jobs
+ * from their submissions, and learns nothing from the controllers but their answers to users.
+ */
+public final class Checker {
+  private static final double EVERY_S = 0.25;
+
+  private final World world;
+  private final Map<String, ObjectNode> jobs = new HashMap<>();
+  private final Set<String> accepted = new HashSet<>();
+  private final Set<String> abortAsked = new HashSet<>();
+  private final Map<String, String> over = new HashMap<>();
+  private final Map<String, Double> cancelledS = new HashMap<>();
+  private final Map<String, Set<Integer>> done = new HashMap<>();
+
+  /** For each cancelled job, how long after the confirmation its last task was seen. */
+  public final Map<String, Double> lastSeenAfterS = new HashMap<>();
+
+  Checker(World world) {
+    this.world = world;
+  }
+
+  void start() {
+    world.at(EVERY_S, this::tick);
+  }
+
+  private void tick() {
+    cancelledS.forEach(
+        (job, toldS) -> {
+          for (FakeWorker w : world.cloud.workers.values()) {
+            if (w.tasks().stream().anyMatch(t -> job.equals(jobOf(t)))) {
+              lastSeenAfterS.put(job, world.now() - toldS);
+              if (world.now() - toldS > world.workers.cancelS()) {
+                broken("ran_cancelled", job + " is still on " + w.id);
+              }
+            }
+          }
+        });
+    start();
+  }
+
+  private void broken(String rule, String what) {
+    String text = rule + ": " + what;
+    if (!world.broken.contains(text)) {
+      world.broken.add(text);
+    }
+  }
+
+  /** A user has asked for something; {@code reply} is null if nobody answered. */
+  public void answered(String method, String path, byte[] asked, Http.Reply reply) {
+    int status = reply == null ? 0 : reply.status();
+    byte[] answer = reply == null ? null : reply.body();
+    if (path.equals("/work") && method.equals("POST")) {
+      ObjectNode job = map(asked);
+      if (job != null && job.has("name_id")) {
+        submitted(job, status, answer);
+      }
+    } else if (path.startsWith("/work/")) {
+      boolean abort = path.endsWith("/abort");
+      String id = path.substring(6, path.length() - (abort ? 6 : 0));
+      if (abort) {
+        abortAsked.add(id);
+      }
+      if (status == 404 && accepted.contains(id)) {
+        broken("forgotten", id + " gets 404");
+      }
+      if (status == 200) {
+        told(id, map(answer));
+      }
+    }
+  }
+
+  private void submitted(ObjectNode job, int status, byte[] answer) {
+    String id = job.get("name_id").asText();
+    jobs.putIfAbsent(id, job);
+    if ((status == 400 || status == 422) && accepted.contains(id)) {
+      broken("forgotten", id + " was accepted and is refused with " + status);
+    }
+    if (status == 200 || status == 201) {
+      accepted.add(id);
+      told(id, map(answer));
+    }
+  }
+
+  private void told(String id, ObjectNode answer) {
+    String status = answer == null ? "" : answer.path("status").asText();
+    if (!jobs.containsKey(id)) {
+      broken("invented", id + " is " + status);
+      return;
+    }
+    String before = over.get(id);
+    if (before != null && !before.equals(status)) {
+      broken("went_back", id + " was " + before + " and is " + status);
+    }
+    if (status.equals("done")) {
+      int tasks = jobs.get(id).get("pieces").asInt();
+      if (done.getOrDefault(id, Set.of()).size() < tasks) {
+        broken("not_done", id + " is called done");
+      }
+      over.putIfAbsent(id, status);
+    } else if (status.equals("cancelled")) {
+      if (!abortAsked.contains(id)) {
+        broken("went_back", id + " is called cancelled, which nobody asked for");
+      }
+      over.putIfAbsent(id, status);
+      cancelledS.putIfAbsent(id, world.now());
+    }
+  }
+
+  /** A task is done on a worker. */
+  public void done(String task) {
+    done.computeIfAbsent(jobOf(task), j -> new HashSet<>())
+        .add(Integer.parseInt(task.substring(task.indexOf('/') + 1)));
+  }
+
+  /** A worker is about to start a task. */
+  public void starts(FakeWorker on, String task) {
+    for (FakeWorker w : world.cloud.workers.values()) {
+      if (w != on && w.has(task)) {
+        broken("ran_twice", task + " is on " + w.id + " and starts on " + on.id);
+      }
+    }
+    String id = jobOf(task);
+    Double toldS = cancelledS.get(id);
+    if (toldS != null && world.now() - toldS > world.workers.cancelS()) {
+      broken("ran_cancelled", task + " starts on " + on.id);
+    }
+    ObjectNode job = jobs.get(id);
+    if (job != null) {
+      quota(job);
+      place(on, task, job);
+    }
+  }
+
+  private void quota(ObjectNode job) {
+    Team team = world.teams.get(job.path("crew").asText());
+    double cores = job.path("cores").asDouble();
+    double gpus = job.path("gpus").asDouble();
+    for (FakeWorker w : world.cloud.workers.values()) {
+      for (String t : w.tasks()) {
+        ObjectNode other = jobs.get(jobOf(t));
+        if (other != null && other.path("crew").equals(job.path("crew"))) {
+          cores += other.path("cores").asDouble();
+          gpus += other.path("gpus").asDouble();
+        }
+      }
+    }
+    if (team != null && (cores > team.cpusMax() + 1e-6 || gpus > team.gpusMax() + 1e-6)) {
+      broken("quota", team.name() + " uses " + cores + " cores and " + gpus + " gpus");
+    }
+  }
+
+  private void place(FakeWorker on, String task, ObjectNode job) {
+    JsonNode types = job.path("hosttypes");
+    boolean typeAllowed = !types.isArray() || types.isEmpty();
+    for (JsonNode t : types) {
+      typeAllowed |= t.asText().equals(on.type);
+    }
+    String only = job.path("yard").asText("");
+    List<FakeWorker> mates =
+        world.cloud.workers.values().stream()
+            .filter(
+                w ->
+                    w.tasks().stream()
+                        .anyMatch(t -> jobOf(t).equals(jobOf(task)) && !t.equals(task)))
+            .toList();
+    boolean apart = job.path("apart").asBoolean();
+    int most = (job.path("pieces").asInt() + 1) / 2;
+    long here =
+        mates.stream()
+            .filter(w -> w.zone.equals(on.zone))
+            .flatMap(w -> w.tasks().stream())
+            .filter(t -> jobOf(t).equals(jobOf(task)) && !t.equals(task))
+            .count();
+    if (!typeAllowed
+        || !only.isEmpty() && !only.equals("null") && !only.equals(on.zone)
+        || on.spot && !job.path("loaners").asBoolean()
+        || job.path("one_zone").asBoolean() && mates.stream().anyMatch(w -> !w.zone.equals(on.zone))
+        || apart && here + 1 > most) {
+      broken("wrong_place", task + " starts on " + on.id + " in " + on.zone);
+    }
+  }
+
+  private static String jobOf(String task) {
+    return task.substring(0, task.indexOf('/'));
+  }
+
+  private static ObjectNode map(byte[] body) {
+    try {
+      return body == null || body.length == 0 ? null : Objects.requireNonNull(Cbor.parse(body));
+    } catch (Cbor.Malformed e) {
+      return null;
+    }
+  }
+}
--- a/src/test/java/io/violetrail/fakes/FakeState.java
+++ b/src/test/java/io/violetrail/fakes/FakeState.java
@@ -35,6 +35,10 @@
   private final Map<Long, Lease> leases = new HashMap<>();
   public final Set<String> refusedFor = new HashSet<>();
   public boolean down;
+
+  /** Transactions of these controllers get no answer, and are carried out so much later. */
+  public final Map<String, Double> lateS = new HashMap<>();
+
   public int largestValue;
 
   /** Puts and deletes asked for, those of refused transactions included. */
@@ -114,6 +118,8 @@
         get(path.substring(6), done);
       } else if (path.startsWith("/keys?")) {
         list(path, done);
+      } else if (path.equals("/txn") && lateS.containsKey(who)) {
+        world.at(lateS.get(who), () -> txn(body, nobody -> {}));
       } else if (path.equals("/txn")) {
         txn(body, done);
       } else if (path.equals("/leases")) {
