A cancelled job's tasks are halted at once, repeated where no reports come; an end is tried again

Cause: a cancellation stopped tasks with the next report's answer alone: on the fakes, with images fetched for 2 s, 4 of 32 tasks began after their users had been told, and a task on a machine that reaches no controller lived until its lease ended. An end whose write was refused for a passing reason was never stored; it is tried again.

--- a/src/main/java/io/violetrail/api/Jobs.java
+++ b/src/main/java/io/violetrail/api/Jobs.java
@@ -34,6 +34,7 @@
   static final Logger LOG = LoggerFactory.getLogger(Jobs.class);
   private static final int REMEMBERED = 20_000;
   private static final double ASK_AGAIN_S = 3;
+  private static final double END_AGAIN_S = 2;
 
   private final Node node;
   private final Map<Holding, Progress> progress = new HashMap<>();
@@ -307,6 +308,10 @@
             (stored, failure) -> {
               if (failure != null) {
                 node.membership.suspect();
+                if (h.phase != Holding.Phase.LOST) {
+                  // Refused for a reason that may pass: nobody else would ever store this end.
+                  node.loop.after(END_AGAIN_S, () -> job.write(() -> end(h, job, status)));
+                }
                 return false;
               }
               ended(h, job, status);
@@ -336,6 +341,7 @@
         h.unplace(p, node.loop.seconds());
       } else {
         p.halt(0);
+        node.halts.cancelled(p);
       }
     }
   }
--- a/src/main/java/io/violetrail/node/Node.java
+++ b/src/main/java/io/violetrail/node/Node.java
@@ -115,6 +115,7 @@
     dispatcher.start();
     fleet.start();
     hearing.start();
+    halts.start();
     unreached.start();
     loop.every(TELL_S, this::tell);
   }
--- a/src/test/java/io/violetrail/fakes/FakeCloud.java
+++ b/src/test/java/io/violetrail/fakes/FakeCloud.java
@@ -8,9 +8,11 @@
 import io.violetrail.wire.CloudWire;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Consumer;
 import java.util.function.IntToDoubleFunction;
@@ -24,12 +26,21 @@
   public int capacity = 20;
   public boolean down;
 
+  /** Types of which there is none. */
+  public final Set<String> soldOut = new HashSet<>();
+
   /** How long the machine of a number boots; negative: it never comes up. */
   public IntToDoubleFunction boots = n -> 3;
 
   /** How long the answer to a rental takes. */
   public double answerS;
 
+  /** How long machines that are yet to come fetch an image before a task starts. */
+  public double fetchS;
+
+  /** All machines that there have ever been. */
+  public final List<FakeWorker> everUp = new ArrayList<>();
+
   /** How long tasks run on machines that are yet to come. */
   public double runS = 20;
 
@@ -61,6 +72,8 @@
             spot,
             types.stream().filter(t -> t.name().equals(type)).findFirst().orElseThrow().size());
     w.runS = runS;
+    w.fetchS = fetchS;
+    everUp.add(w);
     workers.put(id, w);
     world.place(w);
     return w;
@@ -116,12 +129,16 @@
     return m;
   }
 
+  private boolean available(ObjectNode m) {
+    return workers.size() < capacity && !soldOut.contains(m.get("hosttype").asText());
+  }
+
   private void hire(ObjectNode m, Consumer<Answer> done) {
     String name = m.get("hire").asText();
     List<String> given = hires.get(name);
     if (given == null) {
       given = new ArrayList<>();
-      for (int i = 0; i < m.get("count").asInt() && workers.size() < capacity; i++) {
+      for (int i = 0; available(m) && i < m.get("count").asInt(); i++) {
         FakeWorker w =
             machine(
                 m.get("hosttype").asText(), m.get("yard").asText(), m.get("loaners").asBoolean());
--- a/src/test/java/io/violetrail/fakes/FakeWorker.java
+++ b/src/test/java/io/violetrail/fakes/FakeWorker.java
@@ -28,6 +28,11 @@
     String status;
     String cause;
     double ends;
+
+    /** A task is on its machine from the moment that it has its image until it ends. */
+    boolean isHere() {
+      return !status.equals("ended") && !status.equals("fetching");
+    }
   }
 
   public final String id;
@@ -39,6 +44,10 @@
   private final Map<String, Piece> pieces = new LinkedHashMap<>();
   public final Map<String, Double> runs = new LinkedHashMap<>();
   public double runS = 20;
+
+  /** How long it fetches an image before a task starts; it reports the task as fetching. */
+  public double fetchS;
+
   public boolean faulty;
 
   /** Its reports arrive; answers and direct commands are lost. */
@@ -80,8 +89,8 @@
   /** What its tasks leave free, by what the jobs say that each takes. */
   Amounts free(Function<String, Amounts> takes) {
     Amounts left = size;
-    for (String task : tasks()) {
-      left = left.minus(takes.apply(task));
+    for (Piece p : pieces.values()) {
+      left = p.status.equals("ended") ? left : left.minus(takes.apply(p.task));
     }
     return left;
   }
@@ -144,7 +153,7 @@
 
   public boolean has(String task) {
     Piece p = pieces.get(task);
-    return p != null && !p.status.equals("ended");
+    return p != null && p.isHere();
   }
 
   /** The tasks that are on it. */
@@ -153,7 +162,7 @@
       expire();
     }
     return pieces.values().stream()
-        .filter(p -> !p.status.equals("ended"))
+        .filter(Piece::isHere)
         .map(p -> p.task)
         .collect(Collectors.toSet());
   }
@@ -271,6 +280,18 @@
             });
   }
 
+  /** Its image is there, so the task starts unless it was stopped meanwhile. */
+  private void fetched(Piece p) {
+    if (pieces.get(p.task) != p || !p.status.equals("fetching")) {
+      return;
+    }
+    world.checker.starts(this, p.task);
+    p.status = "running";
+    p.ends = world.now() + runs.getOrDefault(p.task, runS);
+    launches++;
+    world.launches.add("%.3f %s %s".formatted(world.now(), p.task, id));
+  }
+
   private static int launches(Http.Reply r) {
     return r.body() == null
         ? 0
@@ -280,8 +301,7 @@
   private void answered(
       Http.Reply r, Throwable failure, String target, double sent, long inSession) {
     if (up && world.now() < hangsUntil) {
-      world.at(
-          hangsUntil - world.now(), () -> answered(r, failure, target, sent, inSession));
+      world.at(hangsUntil - world.now(), () -> answered(r, failure, target, sent, inSession));
       return;
     }
     inFlight = false;
@@ -324,15 +344,16 @@
         if (p != null && p.attempt == order.get("try").asLong()) {
           return;
         }
-        world.checker.starts(this, task);
         Piece n = new Piece();
         n.task = task;
         n.attempt = order.get("try").asLong();
-        n.status = "running";
-        n.ends = world.now() + runs.getOrDefault(task, runS);
+        n.status = "fetching";
         pieces.put(task, n);
-        launches++;
-        world.launches.add("%.3f %s %s".formatted(world.now(), task, id));
+        if (fetchS > 0) {
+          world.at(fetchS, () -> fetched(n));
+        } else {
+          fetched(n);
+        }
       }
       case "halt" -> {
         boolean same = p != null && p.attempt == order.get("try").asLong();
