--- a/src/main/java/io/violetrail/api/Intake.java
+++ b/src/main/java/io/violetrail/api/Intake.java
@@ -6,6 +6,8 @@
 import io.violetrail.model.Shape;
 import io.violetrail.node.Node;
 import io.violetrail.ownership.Holding;
+import java.util.HashSet;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
 /**
@@ -116,16 +118,22 @@
     if (team == null) {
       return "unknown team";
     }
-    boolean fits = false;
+    Set<String> zones = new HashSet<>();
     for (MachineType t : node.types().values()) {
-      fits |=
-          (s.types() == null || s.types().contains(t.name()))
-              && (s.zone() == null || t.zones().contains(s.zone()))
-              && s.task().fitsIn(t.size());
+      if ((s.types() == null || s.types().contains(t.name())) && s.task().fitsIn(t.size())) {
+        zones.addAll(t.zones());
+      }
     }
-    if (!fits) {
+    if (s.zone() != null) {
+      zones.retainAll(Set.of(s.zone()));
+    }
+    if (zones.isEmpty()) {
       return "a task fits no allowed machine type";
     }
+    int most = (s.oneZone() ? 1 : zones.size()) * ((s.tasks() + 1) / 2);
+    if (s.spread() && s.shape() != Shape.ARRAY && most < s.tasks()) {
+      return "its tasks run together and may not be apart";
+    }
     double tasks = s.shape() == Shape.ARRAY ? 1 : s.tasks();
     if (s.task().cpus() * tasks > team.cpusMax() + 1e-6
         || s.task().gpus() * tasks > team.gpusMax() + 1e-6) {
--- a/src/main/java/io/violetrail/api/UserApi.java
+++ b/src/main/java/io/violetrail/api/UserApi.java
@@ -112,12 +112,13 @@
 
   private void submit(byte[] body, Consumer<Answer> done) {
     JobSpec spec;
+    JobId id = null;
     try {
       if (body.length > MAX_BODY) {
         throw new Malformed("the body is too long");
       }
       var map = Cbor.parse(body);
-      JobId id =
+      id =
           JobId.wellFormed(map.path("name_id").asText(null))
               ? new JobId(map.get("name_id").asText())
               : null;
@@ -125,13 +126,12 @@
         answerKnown(id, done);
         return;
       }
-      spec = JobWire.spec(map);
+      spec = JobWire.submitted(map);
       if (Cbor.bytes(JobWire.spec(spec)).length > node.settings.stateLimits().valueBytes() / 2) {
         throw new Malformed("the job's description is too long");
       }
     } catch (Malformed e) {
-      LOG.debug("submission refused: {}", e.getMessage());
-      done.accept(Answer.error(400, e.getMessage()));
+      malformed(id, e.getMessage(), done);
       return;
     }
     node.intake
@@ -151,6 +151,29 @@
             });
   }
 
+  /**
+   * A repeat of an accepted job is never refused, whatever its other fields say: users send what
+   * they have of it. Where its id cannot be told there is nothing to look for.
+   */
+  private void malformed(JobId id, String why, Consumer<Answer> done) {
+    LOG.debug("submission refused: {}", why);
+    if (id == null) {
+      done.accept(Answer.error(400, why));
+      return;
+    }
+    jobs.lookUp(id)
+        .whenComplete(
+            (found, failure) -> {
+              if (failure != null) {
+                done.accept(Answer.later("the state service does not answer"));
+              } else if (found.absent()) {
+                done.accept(Answer.error(400, why));
+              } else {
+                answerKnown(id, done);
+              }
+            });
+  }
+
   private void answerKnown(JobId id, Consumer<Answer> done) {
     resolve(id)
         .whenComplete(
--- a/src/main/java/io/violetrail/wire/JobWire.java
+++ b/src/main/java/io/violetrail/wire/JobWire.java
@@ -32,6 +32,12 @@
 
   private JobWire() {}
 
+  /** A user's submission. What other interfaces describe may do without an image. */
+  public static JobSpec submitted(JsonNode m) throws Malformed {
+    Cbor.text(m, "bundle");
+    return spec(m);
+  }
+
   public static JobSpec spec(JsonNode m) throws Malformed {
     String id = Cbor.text(m, "name_id");
     if (!JobId.wellFormed(id)) {
--- a/src/test/java/io/violetrail/stories/AnswersTest.java
+++ b/src/test/java/io/violetrail/stories/AnswersTest.java
@@ -320,22 +320,30 @@
     world.run(1);
     world.start("c2");
     world.until(20, () -> user.submit("c2", User.job("job-9", 1)) == 201);
+    // A controller that has forgotten them all is told of each by a repeat that says nonsense.
+    int next = 0;
     for (String node : List.of("c2", "c0", "c1")) {
       for (int i = 0; i < 3; i++) {
-        ObjectNode lacks = User.job("job-" + i, 1);
-        lacks.remove("bundle");
-        for (ObjectNode odd :
-            List.of(
-                lacks,
-                User.job("job-" + i, 1).put("cores", 99.0),
-                User.job("job-" + i, 1).put("crew", "nobody"),
-                User.job("job-" + i, -3))) {
-          assertEquals(200, user.submit(node, odd), node + " " + odd);
+        List<ObjectNode> odd = odd("job-" + i);
+        for (int k = 0; k < odd.size(); k++) {
+          ObjectNode repeat = odd.get((k + next) % odd.size());
+          assertEquals(200, user.submit(node, repeat), node + " " + repeat);
         }
+        next++;
       }
     }
   }
 
+  private static List<ObjectNode> odd(String id) {
+    ObjectNode lacks = User.job(id, 1);
+    lacks.remove("bundle");
+    return List.of(
+        User.job(id, -3),
+        User.job(id, 1).put("crew", "nobody"),
+        lacks,
+        User.job(id, 1).put("cores", 99.0));
+  }
+
   @Test
   void whatLacksAFieldOrFitsNothingTakenTogetherIsRefusedAndCostsLittle() {
     world.cloud.types.clear();
@@ -348,14 +356,17 @@
             types(User.job("job-2", 1).put("cores", 8.0), "small"),
             types(User.job("job-3", 1).put("yard", "b"), "small"),
             types(User.job("job-4", 1), "huge"),
-            User.job("job-5", 2).put("shape", "ensemble").put("one_zone", true).put("yard", "c"));
+            User.job("job-5", 2).put("shape", "ensemble").put("one_zone", true).put("yard", "c"),
+            User.job("job-6", 4).put("shape", "ensemble").put("apart", true).put("yard", "a"),
+            User.job("job-8", 4).put("shape", "daemon").put("apart", true).put("one_zone", true));
     int before = world.state.writes;
     for (int round = 0; round < 5; round++) {
       for (ObjectNode job : never) {
         assertEquals(422, user.submit("c" + round % 3, job), job.toString());
       }
     }
-    for (String field : List.of("jobclass", "cores", "guess_s", "one_zone", "pull_gb", "shape")) {
+    for (String field :
+        List.of("jobclass", "bundle", "cores", "guess_s", "one_zone", "pull_gb", "shape")) {
       ObjectNode lacks = User.job("job-7", 1);
       lacks.remove(field);
       assertEquals(400, user.submit("c1", lacks), field);
