No work is left waiting: parts of limits, ties, a peer's half-used machine, spare work

Ruled out: nothing was wrong with what a new owner counts for silent machines. Whoever waits in vain gathers for a minute and lets go for a minute, so nothing goes to and fro. Accelerators are left to work that waits for them, and to work that may come only until others have waited 45 s.

--- a/src/main/java/io/violetrail/fleet/Machine.java
+++ b/src/main/java/io/violetrail/fleet/Machine.java
@@ -73,6 +73,12 @@
   /** No spare work is started here until then: others need the machine. */
   public double clearedUntilS;
 
+  /** Nothing is started here until then: it is emptied for another entity. */
+  public double vacatedUntilS = Double.NEGATIVE_INFINITY;
+
+  /** When it came to this entity's present owner. */
+  public final double joinedS;
+
   /** Where its worker answers; null until it has reported here. */
   public HostPort endpoint;
 
@@ -92,6 +98,7 @@
     this.type = type;
     this.since = since;
     this.rentedS = now;
+    this.joinedS = now;
     this.idleSinceS = now;
     this.heardS = now;
     this.answeredS = now;
--- a/src/main/java/io/violetrail/fleet/Sharing.java
+++ b/src/main/java/io/violetrail/fleet/Sharing.java
@@ -13,11 +13,13 @@
 import io.violetrail.ownership.Rows.MachineRow;
 import io.violetrail.peer.Need;
 import io.violetrail.scheduling.Job;
+import io.violetrail.scheduling.Preemption;
 import io.violetrail.wire.Cbor;
 import io.violetrail.wire.StateWire.Change;
 import io.violetrail.wire.StateWire.Entry;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -35,6 +37,15 @@
   /** Nothing is rented for a job before peers have been asked twice for what they have idle. */
   static final double FIRST_S = 2 * ASK_S + 0.1;
 
+  /** Less of a limit than this is not worth a write. */
+  private static final double LEAST = 1e-3;
+
+  /** So long a machine is kept free for the need for which it is emptied. */
+  private static final double VACATED_S = 30;
+
+  /** A machine is not emptied for others sooner after it has come. */
+  private static final double SETTLED_S = 60;
+
   private final Node node;
 
   /** Parts of own slices that are on their way to another entity: no longer used, not yet gone. */
@@ -83,19 +94,31 @@
     boolean uncertain = h.uncertain(now);
     for (Job job : node.dispatcher.order(h)) {
       int waiting = job.unplaced();
-      // Nothing is gathered for what fails wherever it goes, or for what runs in spare room.
-      if (waiting == 0 || job.spareWork || job.trial.suspect() || job.recovered && uncertain) {
+      // Nothing is gathered for what fails wherever it goes.
+      if (waiting == 0 || job.trial.suspect() || job.recovered && uncertain) {
         continue;
       }
-      String kind = (job.spec.task().gpus() > 0) + " " + job.spec.shape();
+      // Who asked in vain for long lets others of its kind ask beside it for a while.
+      boolean gathers = job.gathers(now);
+      String kind =
+          String.join(
+              " ",
+              String.valueOf(job.spec.task().gpus() > 0),
+              String.valueOf(job.spec.shape()),
+              String.valueOf(job.spareWork),
+              String.valueOf(gathers));
       if (kinds.merge(kind, 1, Integer::sum) > MAX_OF_A_KIND) {
         continue;
       }
-      int allowed = node.dispatcher.quota(h, job.spec.team(), now).count(job.spec.task());
-      if (allowed < waiting) {
-        needs.add(Need.slice(job.spec, waiting - allowed, job.arrivedMs));
+      Amounts quota = node.dispatcher.quota(h, job.spec.team(), now);
+      int allowed = quota.count(job.spec.task());
+      if (allowed < waiting && gathers) {
+        Amounts lacking = job.spec.task().times(waiting).minus(quota).notNegative();
+        needs.add(Need.slice(job.spec, lacking, job.arrivedMs));
       }
-      if (allowed > 0) {
+      // What runs in spare room alone needs its part of a limit all the same, and in the end a
+      // machine of its own.
+      if (allowed > 0 && (!job.spareWork || job.stranded(now))) {
         needs.add(machines(h, job, Math.min(waiting, allowed)));
       }
     }
@@ -112,7 +135,7 @@
    */
   private Need machines(Holding h, Job job, int tasks) {
     if (!job.spec.oneZone() || job.spec.zone() != null) {
-      return Need.machines(job.spec, tasks, job.arrivedMs, worth(job));
+      return need(job, tasks);
     }
     Map<String, Integer> rooms = new HashMap<>();
     for (MachineType t : node.types().values()) {
@@ -136,7 +159,12 @@
       }
     }
     int missing = Math.max(1, tasks - rooms.getOrDefault(best, 0));
-    return Need.machines(job.spec, missing, job.arrivedMs, worth(job)).in(best);
+    return need(job, missing).in(best);
+  }
+
+  private Need need(Job job, int tasks) {
+    boolean stranded = job.stranded(node.loop.seconds()) && !job.spareWork;
+    return Need.machines(job.spec, tasks, job.arrivedMs, worth(job), stranded);
   }
 
   private double worth(Job job) {
@@ -163,20 +191,24 @@
   }
 
   private void giveMachines(Holding h, EntityRow target, Need need) {
-    if (wantedHere(h, need)) {
-      return;
-    }
+    double now = node.loop.seconds();
+    List<Job> first = wantingBefore(h, need, now);
     int left = need.tasks();
     for (Machine m : List.copyOf(h.machines.values())) {
       if (left <= 0) {
         return;
       }
       int fit = m.type.size().count(need.task());
-      if (fit > 0 && m.empty() && passable(m, need)) {
+      // What was emptied for such a need passes, though what was stopped for it waits here now.
+      boolean free = need.stranded() && now <= m.vacatedUntilS || !wantedHere(h, first, m, now);
+      if (fit > 0 && m.empty() && passable(m, need) && free) {
         left -= fit;
         pass(h, m, target);
       }
     }
+    if (!first.isEmpty()) {
+      return;
+    }
     for (Machine m : h.machines.values()) {
       int fit = m.type.size().count(need.task());
       if (left > 0 && fit > 0 && !m.empty() && m.spare() && passable(m, need)) {
@@ -185,15 +217,60 @@
         node.dispatcher.clear(h, m);
       }
     }
+    if (left > 0 && need.stranded()) {
+      vacate(h, need, left, now);
+    }
+  }
+
+  /**
+   * Empties machines with room for a job that has waited too long, where least work is lost: tasks
+   * of two entities cannot share a machine. They pass at a later asking. What waits here itself, or
+   * came just now, is not touched, so that no machine goes to and fro.
+   */
+  private void vacate(Holding h, Need need, int tasks, double now) {
+    List<Machine> used = new ArrayList<>();
+    int left = tasks;
+    for (Machine m : h.machines.values()) {
+      boolean useful = passable(m, need) && m.type.size().count(need.task()) > 0;
+      if (useful && now <= m.vacatedUntilS) {
+        left -= m.type.size().count(need.task());
+      } else if (useful
+          && !m.empty()
+          && m.room().count(need.task()) > 0
+          && now - m.joinedS > SETTLED_S) {
+        used.add(m);
+      }
+    }
+    if (left <= 0 || used.isEmpty() || waitsHere(h)) {
+      return;
+    }
+    used.sort(Comparator.comparingDouble(m -> Preemption.loss(m, now)));
+    for (Machine m : used) {
+      if (left > 0) {
+        left -= m.type.size().count(need.task());
+        LOG.info("machine {} is emptied for {} of another entity", m.id(), need.job());
+        node.dispatcher.vacate(h, m, VACATED_S);
+      }
+    }
+  }
+
+  private static boolean waitsHere(Holding h) {
+    for (Job job : h.jobs.values()) {
+      if (job.phase == Job.Phase.OPEN && job.unplaced() > 0 && !job.spareWork) {
+        return true;
+      }
+    }
+    return false;
   }
 
   private boolean passable(Machine m, Need need) {
     // Too dear for the need, a machine only passed to and fro, idle and paid for.
+    double ratio =
+        node.prices().ratio(need.task(), need.typeList(), m.type, m.row.spot(), need.tasks());
     return m.open()
-        && node.prices().ratio(need.task(), need.typeList(), m.type, m.row.spot(), need.tasks())
-            <= need.worth()
-        && need.allows(m.row.type(), m.row.zone(), m.row.spot())
-        && suits(m, need.gpus());
+        && ratio <= need.worth()
+        && (need.stranded() || suits(m, need.gpus()))
+        && need.allows(m.row.type(), m.row.zone(), m.row.spot());
   }
 
   /** Accelerators do not go to work that needs none. */
@@ -201,16 +278,29 @@
     return m.type.size().gpus() == 0 || gpus > 0;
   }
 
-  /**
-   * Whether an own job that is more urgent, or has waited longer, waits for the same kind of room.
-   */
-  private boolean wantedHere(Holding h, Need need) {
+  /** Own jobs that are more urgent, or have waited longer, and wait for the same kind of room. */
+  private static List<Job> wantingBefore(Holding h, Need need, double now) {
+    List<Job> first = new ArrayList<>();
     for (Job job : h.jobs.values()) {
       boolean waits = job.phase == Job.Phase.OPEN && job.unplaced() > 0;
-      if (!waits || job.spareWork || job.trial.suspect()) {
-        continue;
+      if (waits
+          && !job.spareWork
+          && !job.trial.suspect()
+          && job.gathers(now)
+          && before(job, need)
+          && (job.spec.task().gpus() > 0) == (need.gpus() > 0)) {
+        first.add(job);
       }
-      if (before(job, need) && (job.spec.task().gpus() > 0) == (need.gpus() > 0)) {
+    }
+    return first;
+  }
+
+  /** Whether one of the jobs may and could start on the machine. */
+  private boolean wantedHere(Holding h, List<Job> jobs, Machine m, double now) {
+    for (Job job : jobs) {
+      if (job.spec.allows(m.row.type(), m.row.zone(), m.row.spot())
+          && m.type.size().count(job.spec.task()) > 0
+          && node.dispatcher.quota(h, job.spec.team(), now).count(job.spec.task()) > 0) {
         return true;
       }
     }
@@ -219,13 +309,17 @@
 
   /**
    * Whether an own job goes before another entity's need: it is more urgent, or as urgent and has
-   * waited longer. One order for both sides: with two that differed, a slice went to and fro
-   * between two entities every second, and neither job started.
+   * waited longer. One order for both sides, with the id for those that came in the same
+   * millisecond: with two that differed, a slice went to and fro between two entities every second,
+   * and neither job started; where both sides saw themselves first, neither gave its part.
    */
   private static boolean before(Job job, Need need) {
     int priority = job.spec.priority().ordinal();
-    return priority < need.priority()
-        || priority == need.priority() && job.arrivedMs <= need.arrivedMs();
+    if (priority != need.priority() || job.arrivedMs != need.arrivedMs()) {
+      return priority < need.priority()
+          || priority == need.priority() && job.arrivedMs < need.arrivedMs();
+    }
+    return job.spec.id().value().compareTo(need.job()) < 0;
   }
 
   /** One conditional write gives the machine to the other entity and raises its term. */
@@ -260,16 +354,18 @@
       return;
     }
     double now = node.loop.seconds();
-    Amounts spare = node.dispatcher.quota(h, need.team(), now).minus(waiting(h, need));
-    int tasks = Math.min(need.tasks(), spare.count(need.task()));
-    if (tasks <= 0) {
-      return;
-    }
+    // Any part of it, not whole tasks alone: a task that needs more than one entity's slice, or a
+    // gang that needs all of the limit, is put together from what each of the others can spare.
+    Amounts spare =
+        node.dispatcher.quota(h, need.team(), now).minus(waiting(h, need)).notNegative();
     Amounts moved =
         new Amounts(
-            finite(need.cpus() * tasks, team.cpusMax()),
-            finite(need.gpus() * tasks, team.gpusMax()),
+            finite(Math.min(need.cpus(), spare.cpus()), team.cpusMax()),
+            finite(Math.min(need.gpus(), spare.gpus()), team.gpusMax()),
             0);
+    if (moved.cpus() < LEAST && moved.gpus() < LEAST) {
+      return;
+    }
     leaving.put(key, moved);
     String row = Rows.SLICE + need.team();
     Entry before = node.directory.slice(need.team());
@@ -311,7 +407,10 @@
   private Amounts waiting(Holding h, Need need) {
     Amounts sum = Amounts.NONE;
     for (Job job : h.jobs.values()) {
-      if (job.phase == Job.Phase.OPEN && before(job, need) && job.spec.team().equals(need.team())) {
+      if (job.phase == Job.Phase.OPEN
+          && before(job, need)
+          && job.spec.team().equals(need.team())
+          && job.gathers(node.loop.seconds())) {
         sum = sum.plus(job.spec.task().times(job.mayStart(node.loop.seconds())));
       }
     }
--- a/src/main/java/io/violetrail/model/Amounts.java
+++ b/src/main/java/io/violetrail/model/Amounts.java
@@ -17,6 +17,10 @@
     return new Amounts(cpus * n, gpus * n, memoryGb * n);
   }
 
+  public Amounts notNegative() {
+    return new Amounts(Math.max(0, cpus), Math.max(0, gpus), Math.max(0, memoryGb));
+  }
+
   public boolean fitsIn(Amounts room) {
     return cpus <= room.cpus + SLACK
         && gpus <= room.gpus + SLACK
--- a/src/main/java/io/violetrail/peer/Need.java
+++ b/src/main/java/io/violetrail/peer/Need.java
@@ -5,12 +5,14 @@
 import java.util.List;
 
 /**
- * What an entity lacks for a waiting job: machines for {@code tasks} more tasks, or a larger slice
- * of the team's limit ({@code slice}). Types are joined by commas; empty: any. {@code worth}: how
- * many times the cheapest ordinary price a machine may cost for each task.
+ * What an entity lacks for a waiting job: machines for {@code tasks} more tasks, or so much more of
+ * the team's limit ({@code slice}, with amounts in all). Types are joined by commas; empty: any.
+ * {@code worth}: how many times the cheapest ordinary price a machine may cost for each task.
+ * {@code stranded}: the job has waited so long that room is to be made for it.
  */
 public record Need(
     boolean slice,
+    String job,
     String team,
     double cpus,
     double gpus,
@@ -21,37 +23,49 @@
     int tasks,
     int priority,
     long arrivedMs,
-    double worth) {
-  public static Need machines(JobSpec s, int tasks, long arrivedMs, double worth) {
-    return of(false, s, tasks, arrivedMs, worth);
+    double worth,
+    boolean stranded) {
+  public static Need machines(
+      JobSpec s, int tasks, long arrivedMs, double worth, boolean stranded) {
+    return of(false, s, s.task(), tasks, arrivedMs, worth, stranded);
   }
 
-  public static Need slice(JobSpec s, int tasks, long arrivedMs) {
-    return of(true, s, tasks, arrivedMs, 0);
+  /** All that is lacking, whatever part of it is a whole task. */
+  public static Need slice(JobSpec s, Amounts lacking, long arrivedMs) {
+    return of(true, s, lacking, 1, arrivedMs, 0, false);
   }
 
-  private static Need of(boolean slice, JobSpec s, int tasks, long arrivedMs, double worth) {
+  private static Need of(
+      boolean slice,
+      JobSpec s,
+      Amounts what,
+      int tasks,
+      long arrivedMs,
+      double worth,
+      boolean stranded) {
     String types = s.types() == null ? "" : String.join(",", s.types());
     return new Need(
         slice,
+        s.id().value(),
         s.team(),
-        s.task().cpus(),
-        s.task().gpus(),
-        s.task().memoryGb(),
+        what.cpus(),
+        what.gpus(),
+        what.memoryGb(),
         types,
         s.zone() == null ? "" : s.zone(),
         s.spot(),
         tasks,
         s.priority().ordinal(),
         arrivedMs,
-        worth);
+        worth,
+        stranded);
   }
 
   /** The same in one zone alone. */
   public Need in(String onlyZone) {
     return new Need(
-        slice, team, cpus, gpus, memoryGb, types, onlyZone, spot, tasks, priority, arrivedMs,
-        worth);
+        slice, job, team, cpus, gpus, memoryGb, types, onlyZone, spot, tasks, priority, arrivedMs,
+        worth, stranded);
   }
 
   public Amounts task() {
--- a/src/main/java/io/violetrail/scheduling/Aims.java
+++ b/src/main/java/io/violetrail/scheduling/Aims.java
@@ -101,7 +101,8 @@
    * by, that grows as the time to start in runs out: what has time left waits for a cheap place.
    */
   public double worth(Job job, double now, double runS) {
-    if (job.spareWork) {
+    // What may not use spot machines would wait for ever once all others are returned.
+    if (job.spareWork && (job.spec.spot() || !job.stranded(now))) {
       return WORTH_SPARE;
     }
     double waited = now - job.arrivedS;
--- a/src/main/java/io/violetrail/scheduling/Dispatcher.java
+++ b/src/main/java/io/violetrail/scheduling/Dispatcher.java
@@ -233,6 +233,16 @@
     m.clearedUntilS = now + grace + Preemption.RESERVED_S;
   }
 
+  /** Stops all that runs on a machine and starts nothing there for a while. */
+  public void vacate(Holding h, Machine m, double forS) {
+    double now = node.loop.seconds();
+    double grace = 0;
+    for (Placement p : List.copyOf(m.tasks().values())) {
+      grace = Math.max(grace, preemption.stop(h, p, now));
+    }
+    m.vacatedUntilS = now + grace + forS;
+  }
+
   /** How many times the cheapest ordinary price a waiting task is worth. */
   public double worth(Job job, double now) {
     return aims.worth(job, now, node.estimates.runS(job.spec));
@@ -255,7 +265,7 @@
       return;
     }
     double now = node.loop.seconds();
-    placer.with(now, node.prices());
+    placer.with(now, node.prices(), order);
     List<Machine> open = new ArrayList<>();
     for (Machine m : h.machines.values()) {
       if (m.open() && m.room().cpus() > 0) {
@@ -285,12 +295,13 @@
     if (!m.open()) {
       return;
     }
-    placer.with(now, node.prices());
+    List<Job> order = order(h);
+    placer.with(now, node.prices(), order);
     boolean uncertain = h.uncertain(now);
     int gangs = 0;
     List<Machine> open = List.of(m);
     Map<String, Amounts> left = new HashMap<>();
-    for (Job job : order(h)) {
+    for (Job job : order) {
       if (!startable(job, uncertain, now) || !placer.fits(job, m, Placer.perZone(job), now)) {
         continue;
       }
--- a/src/main/java/io/violetrail/scheduling/Job.java
+++ b/src/main/java/io/violetrail/scheduling/Job.java
@@ -150,6 +150,7 @@
 
   /** For the holding alone, which counts what is placed. */
   public void place(Placement p) {
+    placedS = p.sinceS;
     placed.put(p.index, p);
     taken.set(p.index);
   }
@@ -173,6 +174,35 @@
     return spec.deadlineS() == null ? Double.POSITIVE_INFINITY : arrivedS + spec.deadlineS();
   }
 
+  /** Waiting for longer, a job is stranded: it no longer keeps to what is merely better. */
+  private static final double STRANDED_S = 45;
+
+  /** A job that can't use what it withholds from others lets go of it for as long, in turns. */
+  private static final double TURN_S = 60;
+
+  private double placedS = Double.NEGATIVE_INFINITY;
+
+  /** How long none of its waiting tasks has found a place. */
+  public double waitedS(double now) {
+    return Math.max(0, now - Math.max(arrivedS, placedS));
+  }
+
+  /**
+   * Whether it has waited so long that it takes room it would leave to others otherwise, and that
+   * other entities make room for it. Nothing may wait for long while a machine that fits has room.
+   */
+  public boolean stranded(double now) {
+    return waitedS(now) > STRANDED_S;
+  }
+
+  /**
+   * Whether it may gather what it cannot use yet, machines or parts of a limit, and keep others
+   * from it. A job that gathers in vain would keep the rest from running for as long as it waits.
+   */
+  public boolean gathers(double now) {
+    return waitedS(now) % (2 * TURN_S) < TURN_S;
+  }
+
   /** Whether its end is asked for and not known to be stored: it may be, and others may know. */
   public boolean endUndecided() {
     return phase == Phase.CLOSING || phase == Phase.CANCELLING;
--- a/src/main/java/io/violetrail/scheduling/Placer.java
+++ b/src/main/java/io/violetrail/scheduling/Placer.java
@@ -40,6 +40,7 @@
 
   private double nowS;
   private Prices prices;
+  private boolean acceleratedWaits;
 
   /** A machine used less than this may be emptied by and by. */
   private static final double LIGHT = 0.5;
@@ -56,10 +57,11 @@
     this.sample = sample;
   }
 
-  /** What the next decisions go by. */
-  void with(double now, Prices current) {
+  /** What the next decisions go by: the time, prices, and the jobs that wait. */
+  void with(double now, Prices current, List<Job> order) {
     nowS = now;
     prices = current;
+    acceleratedWaits = order.stream().anyMatch(j -> j.spec.task().gpus() > 0);
   }
 
   long looked() {
@@ -93,6 +95,7 @@
     looked++;
     return job.spec.task().fitsIn(m.room())
         && (m.reservedFor == null || m.reservedFor == job || now > m.reservedUntilS)
+        && now > m.vacatedUntilS
         && !(job.spareWork && now < m.clearedUntilS)
         && allowed(job, m, perZone)
         && leavesAccelerators(job, m, now)
@@ -232,6 +235,10 @@
     if (job.spec.task().gpus() > 0 || m.type.size().gpus() == 0) {
       return true;
     }
+    if (job.stranded(now) && !acceleratedWaits) {
+      // Kept for work that may come, rooms stayed empty while this waited.
+      return true;
+    }
     Amounts room = m.room();
     Amounts rest = room.minus(job.spec.task());
     for (Accelerated a : accelerated.values()) {
--- a/src/main/java/io/violetrail/scheduling/Preemption.java
+++ b/src/main/java/io/violetrail/scheduling/Preemption.java
@@ -14,7 +14,7 @@
 import org.slf4j.LoggerFactory;
 
 /** Stops less urgent tasks where that makes room for a more urgent job at the least loss. */
-final class Preemption {
+public final class Preemption {
   private static final Logger LOG = LoggerFactory.getLogger(Preemption.class);
 
   /**
@@ -172,6 +172,11 @@
     return new Offer(m, 1, victims, loss + fetch);
   }
 
+  /** Work lost if all of a machine's tasks are stopped, in cpu seconds. */
+  public static double loss(Machine m, double now) {
+    return m.tasks().values().stream().mapToDouble(p -> loss(p, now)).sum();
+  }
+
   /** Work lost with a task, in cpu seconds; what saves loses little. */
   private static double loss(Placement p, double now) {
     double age = now - p.sinceS;
