The machine types are kept from the first lease on; machines that the cloud does not take back are used

Cause: a controller is told the types before it has its lease, and stored them only at that moment: they were missing for the first four minutes. A machine that was to be returned stayed out of use through all of a cloud's outage, though the cloud had only said no.

--- a/src/main/java/io/violetrail/cloud/CloudClient.java
+++ b/src/main/java/io/violetrail/cloud/CloudClient.java
@@ -107,10 +107,27 @@
             });
   }
 
-  /** True once the machines are gone for certain. */
-  public CompletableFuture<Boolean> giveBack(Collection<MachineId> machines) {
+  /** What asking for machines to be taken back came to. */
+  public enum Return {
+    /** They are gone for certain. */
+    GONE,
+    /** Nothing was done, nor will be. */
+    REFUSED,
+    /** It may be done later. */
+    UNCERTAIN
+  }
+
+  public CompletableFuture<Return> giveBack(Collection<MachineId> machines) {
     return send("POST", "/hosts/return", Cbor.bytes(CloudWire.giveBack(machines)))
-        .handle((r, failure) -> failure == null && r.ok());
+        .handle(
+            (r, failure) -> {
+              if (failure != null) {
+                return Return.UNCERTAIN;
+              }
+              return r.ok()
+                  ? Return.GONE
+                  : r.status() == 429 || r.status() == 503 ? Return.REFUSED : Return.UNCERTAIN;
+            });
   }
 
   /**
--- a/src/main/java/io/violetrail/fleet/Fleet.java
+++ b/src/main/java/io/violetrail/fleet/Fleet.java
@@ -1,6 +1,7 @@
 package io.violetrail.fleet;
 
 import io.violetrail.cloud.CloudClient;
+import io.violetrail.cloud.CloudClient.Return;
 import io.violetrail.fleet.Hires.Offer;
 import io.violetrail.model.Amounts;
 import io.violetrail.model.JobSpec;
@@ -46,6 +47,11 @@
   public final Boots boots = new Boots();
   private double typesAtS = Double.NEGATIVE_INFINITY;
   private boolean returning;
+
+  /** As the cloud told them to this process; null before. */
+  private List<MachineType> told;
+
+  private boolean keeping;
   private int tasteSeed;
 
   public Fleet(Node node, CloudClient cloud) {
@@ -77,6 +83,7 @@
       }
     }
     refreshTypes();
+    keepTypes();
     inventory.tick(now);
   }
 
@@ -95,16 +102,28 @@
                 typesAtS = known ? now - TYPES_S + 20 : now;
                 return;
               }
-              boolean first = node.directory.types() == null;
               node.typesAre(types);
-              if (first && node.membership.own() != null) {
-                // Kept for controllers that start while the cloud does not answer.
-                node.store.txn(new Txn().set(Rows.TYPES, CloudWire.types(types)));
-              }
+              told = types;
               node.dispatcher.wake();
             });
   }
 
+  /**
+   * The machine types are kept for controllers that start while the cloud does not answer. At its
+   * own start a controller is told them before it has its lease; written only then, they were
+   * missing for minutes, and controllers that ended meanwhile served nothing until the cloud was
+   * back.
+   */
+  private void keepTypes() {
+    if (told == null || keeping || node.directory.types() != null) {
+      return;
+    }
+    keeping = true;
+    node.store
+        .settle(new Txn().when(Rows.TYPES, 0).set(Rows.TYPES, CloudWire.types(told)))
+        .whenComplete((outcome, failure) -> keeping = false);
+  }
+
   private void giveBack(Holding h, double now) {
     List<Machine> out = new ArrayList<>();
     Map<JobSpec, Integer> surplus = null;
@@ -135,10 +154,12 @@
     cloud
         .giveBack(batch.stream().map(Machine::id).toList())
         .whenComplete(
-            (gone, failure) -> {
+            (answer, failure) -> {
               returning = false;
-              if (failure == null && gone) {
-                batch.forEach(m -> forget(h, m));
+              switch (failure == null ? answer : Return.UNCERTAIN) {
+                case GONE -> batch.forEach(m -> forget(h, m));
+                case REFUSED -> batch.forEach(m -> m.returning = m.returnUncertain);
+                default -> batch.forEach(m -> m.returnUncertain = true);
               }
             });
   }
--- a/src/main/java/io/violetrail/fleet/Machine.java
+++ b/src/main/java/io/violetrail/fleet/Machine.java
@@ -57,6 +57,13 @@
   public Double noticeS;
   public boolean draining;
   public boolean returning;
+
+  /**
+   * The cloud was asked to take it back and may still do so. Where it only said no, as in an outage
+   * of its own, the machine may be used again: idle machines were out of use for all of an outage.
+   */
+  public boolean returnUncertain;
+
   public boolean silent;
 
   /** It reports, but a launch did not arrive there, and its worker has not answered since. */
--- a/src/test/java/io/violetrail/fakes/FakeWorker.java
+++ b/src/test/java/io/violetrail/fakes/FakeWorker.java
@@ -181,6 +181,10 @@
     return session - 1;
   }
 
+  public String zone() {
+    return zone;
+  }
+
   public String node() {
     return node;
   }
