Deleted schedules and Kubernetes objects do not come back by a late write of their creation

Cause: a creation without an answer may be carried out 2 to 12 s later, after its repeat was and the row was deleted again: its condition, the row's absence, holds once more (both stories failed). A creation now also names the last change of a tombstone row that every deletion rewrites. Costs a read a creation and a write a deletion.

--- a/src/main/java/io/violetrail/calendar/ScheduleApi.java
+++ b/src/main/java/io/violetrail/calendar/ScheduleApi.java
@@ -10,6 +10,7 @@
 import io.violetrail.node.Node;
 import io.violetrail.ownership.Holding;
 import io.violetrail.state.StateStore.Unavailable;
+import io.violetrail.state.Tombstones;
 import io.violetrail.wire.Cbor;
 import io.violetrail.wire.StateWire.Txn;
 import io.violetrail.wire.kubernetes.KubeJson;
@@ -154,8 +155,8 @@
     checked(m);
     String uid = new UUID(node.random.nextLong(), node.random.nextLong()).toString();
     ScheduleRow row = ScheduleRow.fresh(name, kept(m), own.entity(), uid, node.loop.wallMillis());
-    node.store
-        .settle(own.fenced().when(row.key(), 0).set(row.key(), row.value()))
+    Tombstones.creation(node.store, own::fenced, row.key(), row.value())
+        .thenCompose(node.store::settle)
         .whenComplete(
             (outcome, failure) -> {
               if (failure != null) {
@@ -163,6 +164,8 @@
               } else if (outcome.applied()) {
                 LOG.info("schedule {} created: {}", name, m.path("due").asText());
                 done.accept(json(201, shown(row)));
+              } else if (!outcome.failed().contains(row.key())) {
+                done.accept(error(503, "the entity or what was deleted has changed"));
               } else {
                 read(
                     name,
@@ -299,7 +302,11 @@
         done,
         row ->
             node.store
-                .settle(new Txn().when(row.key(), row.stamp()).drop(row.key()))
+                .settle(
+                    Tombstones.mark(
+                        new Txn().when(row.key(), row.stamp()).drop(row.key()),
+                        row.key(),
+                        node.loop.wallMillis()))
                 .whenComplete(
                     (outcome, failure) -> {
                       if (failure != null) {
--- a/src/main/java/io/violetrail/kubernetes/Keeper.java
+++ b/src/main/java/io/violetrail/kubernetes/Keeper.java
@@ -9,6 +9,7 @@
 import io.violetrail.ownership.Holding;
 import io.violetrail.scheduling.Job;
 import io.violetrail.state.FirstListing;
+import io.violetrail.state.Tombstones;
 import java.util.ArrayDeque;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -183,6 +184,7 @@
     if (next.value().has("over")) {
       // Its tasks are gone, and so is what was kept of them in this process.
       txn.drop(key).set(next.goneKey(), next.gone(node.loop.wallMillis()));
+      Tombstones.mark(txn, key, node.loop.wallMillis());
     } else {
       txn.set(key, next.value());
     }
--- a/src/main/java/io/violetrail/kubernetes/Objects.java
+++ b/src/main/java/io/violetrail/kubernetes/Objects.java
@@ -9,6 +9,7 @@
 import io.violetrail.node.Node;
 import io.violetrail.ownership.Holding;
 import io.violetrail.state.StateStore.Unavailable;
+import io.violetrail.state.Tombstones;
 import io.violetrail.wire.Cbor;
 import io.violetrail.wire.StateWire.Txn;
 import io.violetrail.wire.kubernetes.KubeStatus;
@@ -133,8 +134,8 @@
   }
 
   private void alone(KubeObject object, Holding own, Exchange to) {
-    node.store
-        .settle(own.fenced().when(object.key(), 0).set(object.key(), object.value()))
+    Tombstones.creation(node.store, own::fenced, object.key(), object.value())
+        .thenCompose(node.store::settle)
         .whenComplete(
             (outcome, failure) -> {
               if (failure != null) {
@@ -145,7 +146,7 @@
                 // Another's, or an earlier try of this very write has got through.
                 answerExisting(object, 201, to);
               } else {
-                to.answer(KubeStatus.unavailable("the entity has moved"));
+                to.answer(KubeStatus.unavailable("the entity or what was deleted has changed"));
               }
             });
   }
@@ -428,6 +429,7 @@
           boolean background = policy.equals("Background");
           if (background) {
             txn.drop(found.key()).set(found.goneKey(), found.gone(now));
+            Tombstones.mark(txn, found.key(), now);
           } else if (found.deleting()) {
             to.answer(200, found.json(), 0);
             return;
--- a/src/test/java/io/violetrail/stories/KubernetesTest.java
+++ b/src/test/java/io/violetrail/stories/KubernetesTest.java
@@ -493,4 +493,17 @@
     assertEquals(404, client.get("c2", "/apis/batch/v2/jobs").code());
     assertEquals(405, client.send("c2", "DELETE", "/api/v1/namespaces/red/pods/j0-0", null).code());
   }
+
+  @Test
+  void aDeletedObjectDoesNotComeBackByALateWriteOfItsCreation() {
+    up();
+    world.state.lateS.put("c0", 9.0);
+    // The creation has no answer and is on its way for long; its repeat goes through at once.
+    world.at(0.5, world.state.lateS::clear);
+    assertEquals(201, client.send("c0", "POST", DEPLOYMENTS, deployment("d", 2, "one")).code());
+    assertEquals(200, client.send("c1", "DELETE", DEPLOYMENTS + "/d", null).code());
+    world.run(12);
+    assertEquals(404, client.send("c2", "GET", DEPLOYMENTS + "/d", null).code());
+    assertEquals(201, client.send("c0", "POST", DEPLOYMENTS, deployment("d", 2, "one")).code());
+  }
 }
--- a/src/test/java/io/violetrail/stories/ScheduleTest.java
+++ b/src/test/java/io/violetrail/stories/ScheduleTest.java
@@ -186,4 +186,17 @@
     assertTrue(slowest < 1.0, "a submission took " + slowest + " s");
     world.until(600, () -> runs().size() == 300);
   }
+
+  @Test
+  void aDeletedScheduleDoesNotComeBackByALateWriteOfItsCreation() {
+    up();
+    world.state.lateS.put("c0", 9.0);
+    // The creation has no answer and is on its way for long; its repeat goes through at once.
+    world.at(0.5, world.state.lateS::clear);
+    assertEquals(201, send("c0", "POST", "/schedules", schedule("daily", 40)).code());
+    assertEquals(200, send("c1", "DELETE", "/schedules/daily", null).code());
+    world.run(12);
+    assertEquals(404, send("c2", "GET", "/schedules/daily", null).code());
+    assertEquals(201, send("c0", "POST", "/schedules", schedule("daily", 40)).code());
+  }
 }
