--- a/src/main/java/io/violetrail/fleet/Machine.java
+++ b/src/main/java/io/violetrail/fleet/Machine.java
@@ -81,7 +81,7 @@
   public double clearedUntilS;
 
   /** Nothing is started here until then: it is emptied for another entity. */
-  public double vacatedUntilS = Double.NEGATIVE_INFINITY;
+  public double evictedUntilS = Double.NEGATIVE_INFINITY;
 
   /** When it came to this entity's present owner. */
   public final double joinedS;
--- a/src/main/java/io/violetrail/fleet/Sharing.java
+++ b/src/main/java/io/violetrail/fleet/Sharing.java
@@ -41,7 +41,7 @@
   private static final double LEAST = 1e-3;
 
   /** So long a machine is kept free for the need for which it is emptied. */
-  private static final double VACATED_S = 30;
+  private static final double EVICTED_S = 30;
 
   /** A machine is not emptied for others sooner after it has come. */
   private static final double SETTLED_S = 60;
@@ -118,7 +118,7 @@
       }
       // What runs in spare room alone needs its part of a limit all the same, and in the end a
       // machine of its own.
-      if (allowed > 0 && (!job.spareWork || job.stranded(now))) {
+      if (allowed > 0 && (!job.spareWork || job.starving(now))) {
         needs.add(machines(h, job, Math.min(waiting, allowed)));
       }
     }
@@ -163,8 +163,8 @@
   }
 
   private Need need(Job job, int tasks) {
-    boolean stranded = job.stranded(node.loop.seconds()) && !job.spareWork;
-    return Need.machines(job.spec, tasks, job.arrivedMs, worth(job), stranded);
+    boolean starving = job.starving(node.loop.seconds()) && !job.spareWork;
+    return Need.machines(job.spec, tasks, job.arrivedMs, worth(job), starving);
   }
 
   private double worth(Job job) {
@@ -179,20 +179,22 @@
     }
     for (Holding h : node.membership.holdings()) {
       if (h.active() && !h.entity().equals(to)) {
+        // Summed up over all machines, so once for all needs.
+        Map<String, Amounts> quotas = new HashMap<>();
         for (Need need : needs) {
           if (need.slice()) {
             giveSlice(h, to, need);
           } else {
-            giveMachines(h, target, need);
+            giveMachines(h, target, need, quotas);
           }
         }
       }
     }
   }
 
-  private void giveMachines(Holding h, EntityRow target, Need need) {
+  private void giveMachines(Holding h, EntityRow target, Need need, Map<String, Amounts> quotas) {
     double now = node.loop.seconds();
-    List<Job> first = wantingBefore(h, need, now);
+    List<Job> first = wantingBefore(h, need, quotas, now);
     int left = need.tasks();
     for (Machine m : List.copyOf(h.machines.values())) {
       if (left <= 0) {
@@ -200,8 +202,8 @@
       }
       int fit = m.type.size().count(need.task());
       // What was emptied for such a need passes, though what was stopped for it waits here now.
-      boolean free = need.stranded() && now <= m.vacatedUntilS || !wantedHere(h, first, m, now);
-      if (fit > 0 && m.empty() && passable(m, need) && free) {
+      boolean free = need.starving() && now <= m.evictedUntilS || !wantedHere(first, m);
+      if (fit > 0 && m.empty() && passable(h, m, need) && free) {
         left -= fit;
         pass(h, m, target);
       }
@@ -211,14 +213,14 @@
     }
     for (Machine m : h.machines.values()) {
       int fit = m.type.size().count(need.task());
-      if (left > 0 && fit > 0 && !m.empty() && m.spare() && passable(m, need)) {
+      if (left > 0 && fit > 0 && !m.empty() && m.spare() && passable(h, m, need)) {
         // It passes at the next asking, once what runs there in spare room has saved.
         left -= fit;
         node.dispatcher.clear(h, m);
       }
     }
-    if (left > 0 && need.stranded()) {
-      vacate(h, need, left, now);
+    if (left > 0 && need.starving()) {
+      evict(h, need, left, now);
     }
   }
 
@@ -227,12 +229,12 @@
    * of two entities cannot share a machine. They pass at a later asking. What waits here itself, or
    * came just now, is not touched, so that no machine goes to and fro.
    */
-  private void vacate(Holding h, Need need, int tasks, double now) {
+  private void evict(Holding h, Need need, int tasks, double now) {
     List<Machine> used = new ArrayList<>();
     int left = tasks;
     for (Machine m : h.machines.values()) {
-      boolean useful = passable(m, need) && m.type.size().count(need.task()) > 0;
-      if (useful && now <= m.vacatedUntilS) {
+      boolean useful = passable(h, m, need) && m.type.size().count(need.task()) > 0;
+      if (useful && now <= m.evictedUntilS) {
         left -= m.type.size().count(need.task());
       } else if (useful
           && !m.empty()
@@ -249,7 +251,7 @@
       if (left > 0) {
         left -= m.type.size().count(need.task());
         LOG.info("machine {} is emptied for {} of another entity", m.id(), need.job());
-        node.dispatcher.vacate(h, m, VACATED_S);
+        node.dispatcher.evict(h, m, EVICTED_S);
       }
     }
   }
@@ -263,13 +265,13 @@
     return false;
   }
 
-  private boolean passable(Machine m, Need need) {
+  private boolean passable(Holding h, Machine m, Need need) {
     // Too dear for the need, a machine only passed to and fro, idle and paid for.
     double ratio =
         node.prices().ratio(need.task(), need.typeList(), m.type, m.row.spot(), need.tasks());
     return m.open()
         && ratio <= need.worth()
-        && (need.stranded() || suits(m, need.gpus()))
+        && (suits(m, need.gpus()) || need.starving() && !acceleratedWaits(h))
         && need.allows(m.row.type(), m.row.zone(), m.row.spot());
   }
 
@@ -278,8 +280,15 @@
     return m.type.size().gpus() == 0 || gpus > 0;
   }
 
-  /** Own jobs that are more urgent, or have waited longer, and wait for the same kind of room. */
-  private static List<Job> wantingBefore(Holding h, Need need, double now) {
+  private boolean acceleratedWaits(Holding h) {
+    return node.dispatcher.order(h).stream().anyMatch(job -> job.spec.task().gpus() > 0);
+  }
+
+  /**
+   * Own jobs that are more urgent, or have waited longer, wait for the same kind of room, and have
+   * the part of their team's limit for it.
+   */
+  private List<Job> wantingBefore(Holding h, Need need, Map<String, Amounts> quotas, double now) {
     List<Job> first = new ArrayList<>();
     for (Job job : h.jobs.values()) {
       boolean waits = job.phase == Job.Phase.OPEN && job.unplaced() > 0;
@@ -288,7 +297,11 @@
           && !job.trial.suspect()
           && job.gathers(now)
           && before(job, need)
-          && (job.spec.task().gpus() > 0) == (need.gpus() > 0)) {
+          && (job.spec.task().gpus() > 0) == (need.gpus() > 0)
+          && quotas
+                  .computeIfAbsent(job.spec.team(), t -> node.dispatcher.quota(h, t, now))
+                  .count(job.spec.task())
+              > 0) {
         first.add(job);
       }
     }
@@ -296,11 +309,10 @@
   }
 
   /** Whether one of the jobs may and could start on the machine. */
-  private boolean wantedHere(Holding h, List<Job> jobs, Machine m, double now) {
+  private static boolean wantedHere(List<Job> jobs, Machine m) {
     for (Job job : jobs) {
       if (job.spec.allows(m.row.type(), m.row.zone(), m.row.spot())
-          && m.type.size().count(job.spec.task()) > 0
-          && node.dispatcher.quota(h, job.spec.team(), now).count(job.spec.task()) > 0) {
+          && m.type.size().count(job.spec.task()) > 0) {
         return true;
       }
     }
--- a/src/main/java/io/violetrail/peer/Need.java
+++ b/src/main/java/io/violetrail/peer/Need.java
@@ -8,7 +8,7 @@
  * What an entity lacks for a waiting job: machines for {@code tasks} more tasks, or so much more of
  * the team's limit ({@code slice}, with amounts in all). Types are joined by commas; empty: any.
  * {@code worth}: how many times the cheapest ordinary price a machine may cost for each task.
- * {@code stranded}: the job has waited so long that room is to be made for it.
+ * {@code starving}: the job has waited so long that room is to be made for it.
  */
 public record Need(
     boolean slice,
@@ -24,10 +24,10 @@
     int priority,
     long arrivedMs,
     double worth,
-    boolean stranded) {
+    boolean starving) {
   public static Need machines(
-      JobSpec s, int tasks, long arrivedMs, double worth, boolean stranded) {
-    return of(false, s, s.task(), tasks, arrivedMs, worth, stranded);
+      JobSpec s, int tasks, long arrivedMs, double worth, boolean starving) {
+    return of(false, s, s.task(), tasks, arrivedMs, worth, starving);
   }
 
   /** All that is lacking, whatever part of it is a whole task. */
@@ -42,7 +42,7 @@
       int tasks,
       long arrivedMs,
       double worth,
-      boolean stranded) {
+      boolean starving) {
     String types = s.types() == null ? "" : String.join(",", s.types());
     return new Need(
         slice,
@@ -58,14 +58,14 @@
         s.priority().ordinal(),
         arrivedMs,
         worth,
-        stranded);
+        starving);
   }
 
   /** The same in one zone alone. */
   public Need in(String onlyZone) {
     return new Need(
         slice, job, team, cpus, gpus, memoryGb, types, onlyZone, spot, tasks, priority, arrivedMs,
-        worth, stranded);
+        worth, starving);
   }
 
   public Amounts task() {
--- a/src/main/java/io/violetrail/scheduling/Aims.java
+++ b/src/main/java/io/violetrail/scheduling/Aims.java
@@ -102,7 +102,7 @@
    */
   public double worth(Job job, double now, double runS) {
     // What may not use spot machines would wait for ever once all others are returned.
-    if (job.spareWork && (job.spec.spot() || !job.stranded(now))) {
+    if (job.spareWork && (job.spec.spot() || !job.starving(now))) {
       return WORTH_SPARE;
     }
     double waited = now - job.arrivedS;
--- a/src/main/java/io/violetrail/scheduling/Dispatcher.java
+++ b/src/main/java/io/violetrail/scheduling/Dispatcher.java
@@ -234,13 +234,13 @@
   }
 
   /** Stops all that runs on a machine and starts nothing there for a while. */
-  public void vacate(Holding h, Machine m, double forS) {
+  public void evict(Holding h, Machine m, double forS) {
     double now = node.loop.seconds();
     double grace = 0;
     for (Placement p : List.copyOf(m.tasks().values())) {
       grace = Math.max(grace, preemption.stop(h, p, now));
     }
-    m.vacatedUntilS = now + grace + forS;
+    m.evictedUntilS = now + grace + forS;
   }
 
   /** How many times the cheapest ordinary price a waiting task is worth. */
--- a/src/main/java/io/violetrail/scheduling/Job.java
+++ b/src/main/java/io/violetrail/scheduling/Job.java
@@ -174,8 +174,8 @@
     return spec.deadlineS() == null ? Double.POSITIVE_INFINITY : arrivedS + spec.deadlineS();
   }
 
-  /** Waiting for longer, a job is stranded: it no longer keeps to what is merely better. */
-  private static final double STRANDED_S = 45;
+  /** Waiting for longer, a job is starving: it no longer keeps to what is merely better. */
+  private static final double STARVING_S = 45;
 
   /** A job that can't use what it withholds from others lets go of it for as long, in turns. */
   private static final double TURN_S = 60;
@@ -191,8 +191,8 @@
    * Whether it has waited so long that it takes room it would leave to others otherwise, and that
    * other entities make room for it. Nothing may wait for long while a machine that fits has room.
    */
-  public boolean stranded(double now) {
-    return waitedS(now) > STRANDED_S;
+  public boolean starving(double now) {
+    return waitedS(now) > STARVING_S;
   }
 
   /**
--- a/src/main/java/io/violetrail/scheduling/Placer.java
+++ b/src/main/java/io/violetrail/scheduling/Placer.java
@@ -95,7 +95,7 @@
     looked++;
     return job.spec.task().fitsIn(m.room())
         && (m.reservedFor == null || m.reservedFor == job || now > m.reservedUntilS)
-        && now > m.vacatedUntilS
+        && now > m.evictedUntilS
         && !(job.spareWork && now < m.clearedUntilS)
         && allowed(job, m, perZone)
         && leavesAccelerators(job, m, now)
@@ -235,7 +235,7 @@
     if (job.spec.task().gpus() > 0 || m.type.size().gpus() == 0) {
       return true;
     }
-    if (job.stranded(now) && !acceleratedWaits) {
+    if (job.starving(now) && !acceleratedWaits) {
       // Kept for work that may come, rooms stayed empty while this waited.
       return true;
     }
--- a/src/main/java/io/violetrail/scheduling/Preemption.java
+++ b/src/main/java/io/violetrail/scheduling/Preemption.java
@@ -172,9 +172,18 @@
     return new Offer(m, 1, victims, loss + fetch);
   }
 
-  /** Work lost if all of a machine's tasks are stopped, in cpu seconds. */
+  /**
+   * Work lost if all of a machine's tasks are stopped, gangs with all of theirs, in cpu seconds.
+   */
   public static double loss(Machine m, double now) {
-    return m.tasks().values().stream().mapToDouble(p -> loss(p, now)).sum();
+    double sum = 0;
+    for (Placement p : m.tasks().values()) {
+      List<Placement> stopped = p.job.spec.shape() == Shape.GANG ? p.job.placements() : List.of(p);
+      for (Placement q : stopped) {
+        sum += loss(q, now);
+      }
+    }
+    return sum;
   }
 
   /** Work lost with a task, in cpu seconds; what saves loses little. */
--- a/src/test/java/io/violetrail/fakes/FakeState.java
+++ b/src/test/java/io/violetrail/fakes/FakeState.java
@@ -40,7 +40,7 @@
   public final Map<String, Double> lateS = new HashMap<>();
 
   /** That share of these controllers' transactions is carried out, and only the answer is lost. */
-  public final Map<String, Double> lostAnswers = new HashMap<>();
+  public final Map<String, Double> lostAcks = new HashMap<>();
 
   /** That share of these controllers' transactions is carried out 2 to 12 s later, unanswered. */
   public final Map<String, Double> lateShare = new HashMap<>();
@@ -133,7 +133,7 @@
         world.at(lateS.get(who), () -> txn(body, nobody -> {}));
       } else if (path.equals("/txn") && chance(lateShare, who)) {
         world.at(2 + 10 * world.random.nextDouble(), () -> txn(body, nobody -> {}));
-      } else if (path.equals("/txn") && chance(lostAnswers, who)) {
+      } else if (path.equals("/txn") && chance(lostAcks, who)) {
         txn(body, nobody -> {});
       } else if (path.equals("/txn")) {
         txn(body, done);
--- a/src/test/java/io/violetrail/fakes/FakeWorker.java
+++ b/src/test/java/io/violetrail/fakes/FakeWorker.java
@@ -54,7 +54,7 @@
   public boolean deaf;
 
   /** It reaches no controller; direct commands reach it. */
-  public boolean mute;
+  public boolean outboundCut;
 
   /** It stands still until then: nothing runs there, and what arrives waits. */
   private double hangsUntil;
@@ -135,7 +135,7 @@
 
   /** Whether new work could run here now, as far as the machine itself is concerned. */
   boolean able() {
-    return up && !mute && !deaf && !faulty && noticeS == null && world.now() >= hangsUntil;
+    return up && !outboundCut && !deaf && !faulty && noticeS == null && world.now() >= hangsUntil;
   }
 
   void boot() {
@@ -267,7 +267,7 @@
     inFlight = true;
     byte[] report = Cbor.bytes(m);
     reports.add(report);
-    if (mute) {
+    if (outboundCut) {
       world.at(ANSWER_S, () -> answered(null, LOST, target, sent, inSession));
       return;
     }
--- a/src/test/java/io/violetrail/stories/AnswersTest.java
+++ b/src/test/java/io/violetrail/stories/AnswersTest.java
@@ -64,7 +64,7 @@
     user.submit("c0", User.job("job-1", 1));
     runs("job-1/0");
     world.run(2);
-    world.state.lostAnswers.put("c0", 1.0);
+    world.state.lostAcks.put("c0", 1.0);
     // c1 cannot ask the owner, and reads for itself.
     world.refuse(m -> m.startsWith("c1 c0 "));
     if (cancelled) {
@@ -86,7 +86,7 @@
     Random random = new Random(seed * 13);
     world.cloud.runS = 3;
     for (int i = 0; i < 3; i++) {
-      world.state.lostAnswers.put(World.name(i), 0.25);
+      world.state.lostAcks.put(World.name(i), 0.25);
     }
     for (int step = 0; step < 40; step++) {
       ObjectNode job = brief("job-" + step);
@@ -108,7 +108,7 @@
       }
       world.run(0.2 + random.nextDouble());
     }
-    world.state.lostAnswers.clear();
+    world.state.lostAcks.clear();
     world.checker.troublesOver();
     for (int step = 0; step < 40; step++) {
       String id = "job-" + step;
@@ -122,7 +122,7 @@
   @Test
   void aSubmissionWhoseAnswerIsLostIsKnownEverywhereOnceAnybodySaysSo() {
     world.up();
-    world.state.lostAnswers.put("c0", 1.0);
+    world.state.lostAcks.put("c0", 1.0);
     ObjectNode job = User.job("job-1", 1);
     world.ask("user", "c0", "POST", "/work", Cbor.bytes(job));
     world.until(5, () -> user.poll("c1", "job-1").equals("queued"));
@@ -132,7 +132,7 @@
       assertTrue(status == 200 || status == 503, "a repeat gets " + status);
     }
     assertNotEquals("404", user.abort("c2", "job-1"));
-    world.state.lostAnswers.clear();
+    world.state.lostAcks.clear();
     world.until(90, () -> user.poll("c0", "job-1").equals("done"));
   }
 
--- a/src/test/java/io/violetrail/stories/CommandsTest.java
+++ b/src/test/java/io/violetrail/stories/CommandsTest.java
@@ -52,7 +52,7 @@
     FakeWorker w = runs("job-1/0");
     w.runs.put("job-1/0", 500.0);
     world.run(2);
-    w.mute = true;
+    w.outboundCut = true;
     // Silent by then; the first command, sent when it was called off, is lost.
     world.run(6);
     world.cut(w.id);
@@ -72,12 +72,12 @@
     FakeWorker w = runs("job-1/0");
     w.runs.put("job-1/0", 60.0);
     world.run(2);
-    w.mute = true;
+    w.outboundCut = true;
     double from = world.now();
     FakeWorker other = world.cloud.given("plain", "b");
     world.until(40, () -> other.has("job-1/0"));
     assertTrue(world.now() - from > world.workers.leaseS(), "not before its lease is over");
-    w.mute = false;
+    w.outboundCut = false;
     world.run(8);
     for (int i = 2; i < 6; i++) {
       user.submit("c0", User.job("job-" + i, 4));
@@ -100,7 +100,7 @@
       world.until(20, () -> user.submit(at, User.job(id, 4)) / 100 == 2);
     }
     world.run(8);
-    world.cloud.workers.values().forEach(w -> w.mute = random.nextInt(3) > 0);
+    world.cloud.workers.values().forEach(w -> w.outboundCut = random.nextInt(3) > 0);
     for (int i = 0; i < 12; i += 3) {
       abort("c1", "job-" + i);
       world.run(0.5);
@@ -113,7 +113,7 @@
     }
     world.start("c0");
     world.run(10);
-    world.cloud.workers.values().forEach(w -> w.mute = false);
+    world.cloud.workers.values().forEach(w -> w.outboundCut = false);
     world.checker.troublesOver();
     for (int i = 0; i < 12; i++) {
       String id = "job-" + i;
