--- a/src/main/java/io/violetrail/scheduling/Job.java
+++ b/src/main/java/io/violetrail/scheduling/Job.java
@@ -177,6 +177,9 @@
   /** Waiting for longer, a job is starving: it no longer keeps to what is merely better. */
   private static final double STARVING_S = 45;
 
+  /** After so long it takes accelerators that are kept for work yet to come. */
+  private static final double LAST_RESORT_S = 75;
+
   /** A job that can't use what it withholds from others lets go of it for as long, in turns. */
   private static final double TURN_S = 60;
 
@@ -188,13 +191,18 @@
   }
 
   /**
-   * Whether it has waited so long that it takes room it would leave to others otherwise, and that
-   * other entities make room for it. Nothing may wait for long while a machine that fits has room.
+   * Whether it has waited so long that other entities make room for it. Nothing may wait for long
+   * while a machine that fits has room.
    */
   public boolean starving(double now) {
     return waitedS(now) > STARVING_S;
   }
 
+  /** Whether it may take what is kept for work that is not there. */
+  public boolean atLastResort(double now) {
+    return waitedS(now) > LAST_RESORT_S;
+  }
+
   /**
    * Whether it may gather what it cannot use yet, machines or parts of a limit, and keep others
    * from it. A job that gathers in vain would keep the rest from running for as long as it waits.
--- a/src/main/java/io/violetrail/scheduling/Placer.java
+++ b/src/main/java/io/violetrail/scheduling/Placer.java
@@ -235,7 +235,7 @@
     if (job.spec.task().gpus() > 0 || m.type.size().gpus() == 0) {
       return true;
     }
-    if (job.starving(now) && !acceleratedWaits) {
+    if (job.atLastResort(now) && !acceleratedWaits) {
       // Kept for work that may come, rooms stayed empty while this waited.
       return true;
     }
