--- a/src/main/java/io/violetrail/fleet/Machine.java
+++ b/src/main/java/io/violetrail/fleet/Machine.java
@@ -66,9 +66,6 @@
 
   public boolean silent;
 
-  /** It reports, but a launch did not arrive there, and its worker has not answered since. */
-  public boolean unreached;
-
   /** Promised to another entity until then; nothing starts here meanwhile. */
   public boolean promised;
 
@@ -188,14 +185,7 @@
 
   /** Whether new tasks may be decided for this machine. */
   public boolean open() {
-    return row.up()
-        && heard
-        && !draining
-        && !returning
-        && !silent
-        && !unreached
-        && !promised
-        && noticeS == null;
+    return row.up() && heard && !draining && !returning && !silent && !promised && noticeS == null;
   }
 
   /** Seconds of full use so far, by the scarcer of processors and accelerators. */
--- a/src/main/java/io/violetrail/node/Node.java
+++ b/src/main/java/io/violetrail/node/Node.java
@@ -36,7 +36,6 @@
 import io.violetrail.worker.Beats;
 import io.violetrail.worker.Halts;
 import io.violetrail.worker.Hearing;
-import io.violetrail.worker.Unreached;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -69,7 +68,6 @@
   public final Beats beats;
   public final Hearing hearing;
   public final Halts halts;
-  public final Unreached unreached;
   public final Estimates estimates = new Estimates();
 
   /** Serves paths of what is switched on beside; null if nothing is. */
@@ -96,7 +94,6 @@
     this.jobs = new Jobs(this);
     this.intake = new Intake(this);
     this.halts = new Halts(this, http);
-    this.unreached = new Unreached(this, http);
     this.dispatcher = new Dispatcher(this);
     this.peers = new Peers(this, http);
     this.sharing = new Sharing(this);
@@ -116,7 +113,6 @@
     fleet.start();
     hearing.start();
     halts.start();
-    unreached.start();
     loop.every(TELL_S, this::tell);
   }
 
--- a/src/main/java/io/violetrail/worker/Beats.java
+++ b/src/main/java/io/violetrail/worker/Beats.java
@@ -391,9 +391,6 @@
       // Sent in the answer to an earlier report and not in this newer one: it was never taken, or
       // is over.
       if (!p.revocable() && !present.contains(p.task()) && m.task(p.task()) == p) {
-        if (p.state == null && p.haltGraceS < 0) {
-          node.unreached.doubt(m);
-        }
         LOG.debug("task {} try {} is no longer on {}", p.task(), p.attempt, m.id());
         holding.unplace(p, now);
       }
@@ -471,10 +468,8 @@
       Holding holding, Machine m, Piece piece, Map<TaskId, Amounts> strays, List<Order> orders) {
     Jobs.Known known = jobs.known(holding, piece.task().job());
     if (piece.state() != State.EXITED) {
+      // Its halt goes with whatever renews the lease.
       strays.put(piece.task(), known == null ? m.type.size() : known.amounts());
-      if (known != null) {
-        orders.add(new Order(Verb.HALT, piece.task(), piece.attempt(), 0));
-      }
     } else if (known != null) {
       orders.add(new Order(Verb.FORGET, piece.task(), piece.attempt(), 0));
     }
