A held report does not bring a returned machine back; machines are emptied for others with less loss

Cause 1: a machine that the cloud had taken back stands in its block until the removal is stored; a report that had been held back brought it into use again in that moment (the line that must never appear, in a story since long). Now its reports are turned away. Now only at most half-used ones of the kind that suits, after a minute.

--- a/src/main/java/io/violetrail/fleet/Sharing.java
+++ b/src/main/java/io/violetrail/fleet/Sharing.java
@@ -43,6 +43,9 @@
   /** So long a machine is kept free for the need for which it is emptied. */
   private static final double EVICTED_S = 30;
 
+  /** What is used more than this is not emptied for others: too much work would be lost. */
+  private static final double HALF = 0.5;
+
   /** A machine is not emptied for others sooner after it has come. */
   private static final double SETTLED_S = 60;
 
@@ -203,7 +206,7 @@
       int fit = m.type.size().count(need.task());
       // What was emptied for such a need passes, though what was stopped for it waits here now.
       boolean free = need.starving() && now <= m.evictedUntilS || !wantedHere(first, m);
-      if (fit > 0 && m.empty() && passable(h, m, need) && free) {
+      if (fit > 0 && m.empty() && passable(m, need) && free) {
         left -= fit;
         pass(h, m, target);
       }
@@ -213,7 +216,7 @@
     }
     for (Machine m : h.machines.values()) {
       int fit = m.type.size().count(need.task());
-      if (left > 0 && fit > 0 && !m.empty() && m.spare() && passable(h, m, need)) {
+      if (left > 0 && fit > 0 && !m.empty() && m.spare() && passable(m, need)) {
         // It passes at the next asking, once what runs there in spare room has saved.
         left -= fit;
         node.dispatcher.clear(h, m);
@@ -233,11 +236,12 @@
     List<Machine> used = new ArrayList<>();
     int left = tasks;
     for (Machine m : h.machines.values()) {
-      boolean useful = passable(h, m, need) && m.type.size().count(need.task()) > 0;
+      boolean useful = passable(m, need) && m.type.size().count(need.task()) > 0;
       if (useful && now <= m.evictedUntilS) {
         left -= m.type.size().count(need.task());
       } else if (useful
           && !m.empty()
+          && m.share() <= HALF
           && m.room().count(need.task()) > 0
           && now - m.joinedS > SETTLED_S) {
         used.add(m);
@@ -265,13 +269,13 @@
     return false;
   }
 
-  private boolean passable(Holding h, Machine m, Need need) {
+  private boolean passable(Machine m, Need need) {
     // Too dear for the need, a machine only passed to and fro, idle and paid for.
     double ratio =
         node.prices().ratio(need.task(), need.typeList(), m.type, m.row.spot(), need.tasks());
     return m.open()
         && ratio <= need.worth()
-        && (suits(m, need.gpus()) || need.starving() && !acceleratedWaits(h))
+        && suits(m, need.gpus())
         && need.allows(m.row.type(), m.row.zone(), m.row.spot());
   }
 
@@ -280,10 +284,6 @@
     return m.type.size().gpus() == 0 || gpus > 0;
   }
 
-  private boolean acceleratedWaits(Holding h) {
-    return node.dispatcher.order(h).stream().anyMatch(job -> job.spec.task().gpus() > 0);
-  }
-
   /**
    * Own jobs that are more urgent, or have waited longer, wait for the same kind of room, and have
    * the part of their team's limit for it.
--- a/src/main/java/io/violetrail/scheduling/Job.java
+++ b/src/main/java/io/violetrail/scheduling/Job.java
@@ -175,13 +175,13 @@
   }
 
   /** Waiting for longer, a job is starving: it no longer keeps to what is merely better. */
-  private static final double STARVING_S = 45;
+  private static final double STARVING_S = 60;
 
   /** After so long it takes accelerators that are kept for work yet to come. */
   private static final double LAST_RESORT_S = 75;
 
   /** A job that can't use what it withholds from others lets go of it for as long, in turns. */
-  private static final double TURN_S = 60;
+  private static final double TURN_S = 80;
 
   private double placedS = Double.NEGATIVE_INFINITY;
 
--- a/src/main/java/io/violetrail/worker/Beats.java
+++ b/src/main/java/io/violetrail/worker/Beats.java
@@ -101,6 +101,12 @@
       // Its worker has given that one up.
       before.done().accept(Answer.later("a newer report is here"));
     }
+    if (node.gone.contains(beat.machine())) {
+      // Taken back for certain, though its record still stands: a report that was held back brought
+      // the machine into use again, with tasks that had been started elsewhere since.
+      done.accept(Answer.of(421, BeatWire.elsewhere(null)));
+      return;
+    }
     MachineRow row = node.directory.machine(beat.machine());
     if (row == null) {
       adopt(beat, done);
--- a/src/test/java/io/violetrail/stories/CommandsTest.java
+++ b/src/test/java/io/violetrail/stories/CommandsTest.java
@@ -228,4 +228,22 @@
     }
     assertEquals(0, world.state.keys("c/machine/").size());
   }
+
+  @Test
+  void aHeldReportDoesNotBringAReturnedMachineBackWhileItsRecordStands() {
+    world.up();
+    user.submit("c0", User.job("job-1", 1));
+    FakeWorker w = runs("job-1/0");
+    w.runs.put("job-1/0", 300.0);
+    world.run(2);
+    world.hold(m -> m.startsWith(w.id + " "));
+    var machines = world.nodes.get("c0").membership.own().machines;
+    world.until(60, () -> machines.keySet().stream().noneMatch(m -> m.value().equals(w.id)));
+    // Just returned: the removal of its record is not stored yet.
+    assertTrue(world.state.value("c/block/c0/0").has(w.id));
+    world.release();
+    world.run(0.1);
+    assertTrue(machines.keySet().stream().noneMatch(m -> m.value().equals(w.id)));
+    world.until(80, () -> user.poll("c0", "job-1").equals("done"));
+  }
 }
