--- a/src/main/java/io/violetrail/fleet/Sharing.java
+++ b/src/main/java/io/violetrail/fleet/Sharing.java
@@ -166,7 +166,9 @@
   }
 
   private Need need(Job job, int tasks) {
-    boolean starving = job.starving(node.loop.seconds()) && !job.spareWork;
+    // For the rest of what runs in part already, nobody else's work is stopped: wide arrays wait
+    // for long, and what was lost elsewhere was more than they gained.
+    boolean starving = job.starving(node.loop.seconds()) && !job.spareWork && job.nothingPlaced();
     return Need.machines(job.spec, tasks, job.arrivedMs, worth(job), starving);
   }
 
