--- a/src/main/java/io/violetrail/fleet/Sharing.java
+++ b/src/main/java/io/violetrail/fleet/Sharing.java
@@ -166,10 +166,9 @@
   }
 
   private Need need(Job job, int tasks) {
-    // For the rest of what runs in part already, nobody else's work is stopped: wide arrays wait
-    // for long, and what was lost elsewhere was more than they gained.
-    boolean starving = job.starving(node.loop.seconds()) && !job.spareWork && job.nothingPlaced();
-    return Need.machines(job.spec, tasks, job.arrivedMs, worth(job), starving);
+    boolean starving = job.starving(node.loop.seconds());
+    boolean mayEvict = !job.spareWork && job.nothingPlaced();
+    return Need.machines(job.spec, tasks, job.arrivedMs, worth(job), starving, mayEvict);
   }
 
   private double worth(Job job) {
@@ -200,6 +199,9 @@
   private void giveMachines(Holding h, EntityRow target, Need need, Map<String, Amounts> quotas) {
     double now = node.loop.seconds();
     List<Job> first = wantingBefore(h, need, quotas, now);
+    if (!need.starving() && wantedHere(h, need)) {
+      return;
+    }
     int left = need.tasks();
     for (Machine m : List.copyOf(h.machines.values())) {
       if (left <= 0) {
@@ -224,7 +226,9 @@
         node.dispatcher.clear(h, m);
       }
     }
-    if (left > 0 && need.starving()) {
+    // For the rest of what runs in part already nobody else's work is stopped: wide arrays wait for
+    // long, and what was lost elsewhere was more than they gained.
+    if (left > 0 && need.starving() && need.mayEvict()) {
       evict(h, need, left, now);
     }
   }
@@ -286,6 +290,23 @@
     return m.type.size().gpus() == 0 || gpus > 0;
   }
 
+  /**
+   * Whether an own job that is more urgent, or has waited longer, waits for the same kind of room.
+   */
+  private static boolean wantedHere(Holding h, Need need) {
+    for (Job job : h.jobs.values()) {
+      boolean waits = job.phase == Job.Phase.OPEN && job.unplaced() > 0;
+      if (waits
+          && !job.spareWork
+          && !job.trial.suspect()
+          && before(job, need)
+          && (job.spec.task().gpus() > 0) == (need.gpus() > 0)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /**
    * Own jobs that are more urgent, or have waited longer, wait for the same kind of room, and have
    * the part of their team's limit for it.
--- a/src/main/java/io/violetrail/peer/Need.java
+++ b/src/main/java/io/violetrail/peer/Need.java
@@ -8,7 +8,8 @@
  * What an entity lacks for a waiting job: machines for {@code tasks} more tasks, or so much more of
  * the team's limit ({@code slice}, with amounts in all). Types are joined by commas; empty: any.
  * {@code worth}: how many times the cheapest ordinary price a machine may cost for each task.
- * {@code starving}: the job has waited so long that room is to be made for it.
+ * {@code starving}: the job has waited so long that room is to be made for it; {@code mayEvict}:
+ * not even a part of it runs.
  */
 public record Need(
     boolean slice,
@@ -24,15 +25,16 @@
     int priority,
     long arrivedMs,
     double worth,
-    boolean starving) {
+    boolean starving,
+    boolean mayEvict) {
   public static Need machines(
-      JobSpec s, int tasks, long arrivedMs, double worth, boolean starving) {
-    return of(false, s, s.task(), tasks, arrivedMs, worth, starving);
+      JobSpec s, int tasks, long arrivedMs, double worth, boolean starving, boolean mayEvict) {
+    return of(false, s, s.task(), tasks, arrivedMs, worth, starving, mayEvict);
   }
 
   /** All that is lacking, whatever part of it is a whole task. */
   public static Need slice(JobSpec s, Amounts lacking, long arrivedMs) {
-    return of(true, s, lacking, 1, arrivedMs, 0, false);
+    return of(true, s, lacking, 1, arrivedMs, 0, false, false);
   }
 
   private static Need of(
@@ -42,7 +44,8 @@
       int tasks,
       long arrivedMs,
       double worth,
-      boolean starving) {
+      boolean starving,
+      boolean mayEvict) {
     String types = s.types() == null ? "" : String.join(",", s.types());
     return new Need(
         slice,
@@ -58,14 +61,15 @@
         s.priority().ordinal(),
         arrivedMs,
         worth,
-        starving);
+        starving,
+        mayEvict);
   }
 
   /** The same in one zone alone. */
   public Need in(String onlyZone) {
     return new Need(
         slice, job, team, cpus, gpus, memoryGb, types, onlyZone, spot, tasks, priority, arrivedMs,
-        worth, starving);
+        worth, starving, mayEvict);
   }
 
   public Amounts task() {
--- a/src/main/java/io/violetrail/peer/Peers.java
+++ b/src/main/java/io/violetrail/peer/Peers.java
@@ -93,7 +93,7 @@
   /** Writes and reads a message, so that the classes for it are loaded. */
   public static void rehearse(JobSpec spec) {
     Peers p = new Peers(null, null);
-    ArrayList<Need> needs = new ArrayList<>(List.of(Need.machines(spec, 1, 0, 1, false)));
+    ArrayList<Need> needs = new ArrayList<>(List.of(Need.machines(spec, 1, 0, 1, false, true)));
     p.read(p.bytes(new Question(Kind.NEED, "a", "b", 0, needs)), Question.class);
     p.read(p.bytes(Reply.of(new JobView("a", JobView.Status.DONE, 1, 0))), Reply.class);
   }
--- a/src/main/java/io/violetrail/scheduling/Job.java
+++ b/src/main/java/io/violetrail/scheduling/Job.java
@@ -198,9 +198,9 @@
     return waitedS(now) > STARVING_S;
   }
 
-  /** Whether it may take what is kept for work that is not there. */
+  /** Whether it may take what is kept for work that is not there: nothing of it runs at all. */
   public boolean atLastResort(double now) {
-    return waitedS(now) > LAST_RESORT_S;
+    return waitedS(now) > LAST_RESORT_S && nothingPlaced();
   }
 
   /**
