--- a/src/main/java/io/violetrail/node/Node.java
+++ b/src/main/java/io/violetrail/node/Node.java
@@ -28,6 +28,7 @@
 import io.violetrail.peer.Peers;
 import io.violetrail.scheduling.Dispatcher;
 import io.violetrail.scheduling.Estimates;
+import io.violetrail.scheduling.Job;
 import io.violetrail.state.StateStore;
 import io.violetrail.tracing.Traces;
 import io.violetrail.wire.Cbor.Malformed;
@@ -354,14 +355,22 @@
     return own != null && own.active() && membership.mayKeepAlive() && !types().isEmpty();
   }
 
-  /** The state of a job as it is known here for sure; null if it is not. */
+  /**
+   * The state of a job as it is known here for sure; null if it is not.
+   *
+   * <p>An end that is stored never changes. An open job's state is known to its valid owner alone,
+   * and only while no write of its end is undecided: that may have been carried out with its answer
+   * lost, and others may have read it. The owner then said "running" after another controller had
+   * told the same user "cancelled"; now whoever asks gets what the rows say.
+   */
   public JobView knownView(JobId id) {
     JobView over = jobs.terminalView(id);
     if (over != null || !membership.valid()) {
       return over;
     }
     Holding h = holdingOf(id);
-    return h == null ? null : h.jobs.get(id).view();
+    Job job = h == null ? null : h.jobs.get(id);
+    return job == null || job.endUndecided() ? null : job.view();
   }
 
   /** The held entity that has the job open; null if there is none. */
--- a/src/main/java/io/violetrail/scheduling/Job.java
+++ b/src/main/java/io/violetrail/scheduling/Job.java
@@ -173,6 +173,11 @@
     return spec.deadlineS() == null ? Double.POSITIVE_INFINITY : arrivedS + spec.deadlineS();
   }
 
+  /** Whether its end is asked for and not known to be stored: it may be, and others may know. */
+  public boolean endUndecided() {
+    return phase == Phase.CLOSING || phase == Phase.CANCELLING;
+  }
+
   public JobView view() {
     if (phase == Phase.OVER) {
       return new JobView(spec.id().value(), end, doneCount, 0);
@@ -181,7 +186,7 @@
     for (Placement p : placed.values()) {
       running += p.running() ? 1 : 0;
     }
-    Status status = running > 0 || phase == Phase.CLOSING ? Status.RUNNING : Status.QUEUED;
+    Status status = running > 0 ? Status.RUNNING : Status.QUEUED;
     return new JobView(spec.id().value(), status, doneCount, running);
   }
 
--- a/src/test/java/io/violetrail/fakes/FakeState.java
+++ b/src/test/java/io/violetrail/fakes/FakeState.java
@@ -39,6 +39,12 @@
   /** Transactions of these controllers get no answer, and are carried out so much later. */
   public final Map<String, Double> lateS = new HashMap<>();
 
+  /** That share of these controllers' transactions is carried out, and only the answer is lost. */
+  public final Map<String, Double> lostAnswers = new HashMap<>();
+
+  /** That share of these controllers' transactions is carried out 2 to 12 s later, unanswered. */
+  public final Map<String, Double> lateShare = new HashMap<>();
+
   public int largestValue;
 
   /** Puts and deletes asked for, those of refused transactions included. */
@@ -125,6 +131,10 @@
         list(path, done);
       } else if (path.equals("/txn") && lateS.containsKey(who)) {
         world.at(lateS.get(who), () -> txn(body, nobody -> {}));
+      } else if (path.equals("/txn") && chance(lateShare, who)) {
+        world.at(2 + 10 * world.random.nextDouble(), () -> txn(body, nobody -> {}));
+      } else if (path.equals("/txn") && chance(lostAnswers, who)) {
+        txn(body, nobody -> {});
       } else if (path.equals("/txn")) {
         txn(body, done);
       } else if (path.equals("/leases")) {
@@ -147,6 +157,11 @@
     }
   }
 
+  private boolean chance(Map<String, Double> shares, String who) {
+    Double share = shares.get(who);
+    return share != null && world.random.nextDouble() < share;
+  }
+
   private void get(String key, Consumer<Answer> done) {
     Entry e = keys.get(key);
     done.accept(
--- a/src/test/java/io/violetrail/fakes/User.java
+++ b/src/test/java/io/violetrail/fakes/User.java
@@ -54,6 +54,30 @@
     return status(send(node, "POST", "/work/" + id + "/abort", Cbor.bytes(Cbor.map())));
   }
 
+  /** Moments of close looks, in seconds after an answer. */
+  private static final double[] LOOKS_S = {0, 0.001, 0.004, 0.012, 0.03, 0.08, 0.3};
+
+  /**
+   * Asks about a job at all controllers, again and again within milliseconds, and repeats its
+   * submission and, if {@code cancel}, its cancellation. The checker judges the answers.
+   */
+  public void looksClosely(ObjectNode job, boolean cancel) {
+    String id = job.get("name_id").asText();
+    for (double at : LOOKS_S) {
+      for (int i = 0; i < 3; i++) {
+        String node = World.name(i);
+        world.at(at, () -> world.ask("user", node, "GET", "/work/" + id, null));
+      }
+      String any = World.name(world.random.nextInt(3));
+      world.at(at, () -> world.ask("user", any, "POST", "/work", Cbor.bytes(job)));
+    }
+    if (cancel) {
+      String any = World.name(world.random.nextInt(3));
+      byte[] none = Cbor.bytes(Cbor.map());
+      world.at(0.002, () -> world.ask("user", any, "POST", "/work/" + id + "/abort", none));
+    }
+  }
+
   private static String status(Http.Reply r) {
     try {
       return r.status() == 200
