Instruments: the checker keeps running sums, FleetCost charges program and fakes apart

Cause: Checker.quota went through every task of every worker at each start, and place and the watch over cancelled jobs likewise. Change: RunningTasks holds which tasks are where, with a running sum for each team. The sums are upper bounds (a worker may not have noticed that its lease is over); before a rule is called broken the workers concerned expire, so verdicts are as strict as before, and four more tests show that each can fail and what must not count. World charges the time inside a controller's callbacks to the program.

--- a/src/test/java/io/violetrail/fakes/Checker.java
+++ b/src/test/java/io/violetrail/fakes/Checker.java
@@ -6,6 +6,7 @@
 import io.violetrail.model.Amounts;
 import io.violetrail.net.Http;
 import io.violetrail.wire.Cbor;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -19,6 +20,7 @@
  */
 public final class Checker {
   private static final double EVERY_S = 0.25;
+  private static final double ROUNDING = 1e-6;
 
   private final World world;
   private final Map<String, ObjectNode> jobs = new HashMap<>();
@@ -42,6 +44,8 @@
 
   private final Liveness liveness;
 
+  private final RunningTasks running = new RunningTasks(this::resourcesOfJob);
+
   /** An end that a user was told of, and when. */
   private record Told(String status, long at) {}
 
@@ -62,12 +66,10 @@
   private void tick() {
     cancelledS.forEach(
         (job, toldS) -> {
-          for (FakeWorker w : world.cloud.workers.values()) {
-            if (w.tasks().stream().anyMatch(t -> job.equals(jobOf(t)))) {
-              lastSeenAfterS.put(job, world.now() - toldS);
-              if (world.now() - toldS > world.workers.cancelS()) {
-                broken("ran_cancelled", job + " is still on " + w.id);
-              }
+          for (FakeWorker w : present(job)) {
+            lastSeenAfterS.put(job, world.now() - toldS);
+            if (world.now() - toldS > world.workers.cancelS()) {
+              broken("ran_cancelled", job + " is still on " + w.id);
             }
           }
         });
@@ -75,6 +77,38 @@
     start();
   }
 
+  /** The workers that have a task of the job, those whose leases have run out left out. */
+  private Collection<FakeWorker> present(String job) {
+    running.workersOf(job).forEach(FakeWorker::expire);
+    return running.workersOf(job);
+  }
+
+  /** A task is on a worker from now on. */
+  void arrived(FakeWorker worker, String task) {
+    running.arrived(worker, task);
+  }
+
+  /** A task is on a worker no more. */
+  void departed(FakeWorker worker, String task) {
+    running.departed(worker, task);
+  }
+
+  /** Whether any worker has the task. */
+  boolean isRunning(String task) {
+    return !running.with(task).isEmpty();
+  }
+
+  /** What a team's tasks take on all workers. */
+  Amounts usedBy(String team) {
+    world.cloud.workers.values().forEach(FakeWorker::expire);
+    return running.usedBy(team);
+  }
+
+  private RunningTasks.Resources resourcesOfJob(String id) {
+    ObjectNode job = jobs.get(id);
+    return job == null ? null : new RunningTasks.Resources(job.path("crew").asText(), amounts(job));
+  }
+
   void broken(String rule, String what) {
     String text = rule + ": " + what;
     if (!world.broken.contains(text)) {
@@ -110,11 +144,6 @@
     return job == null ? Amounts.NONE : amounts(job);
   }
 
-  String crewOf(String task) {
-    ObjectNode job = jobs.get(jobOf(task));
-    return job == null ? "" : job.path("crew").asText();
-  }
-
   /** Classes and teams of which less than half is served, and classes' largest jobs. */
   public List<String> badlyServed() {
     return liveness.badlyServed();
@@ -132,7 +161,8 @@
     }
     ObjectNode job = method.equals("POST") && path.equals("/work") ? map(body) : null;
     if (job != null && job.has("name_id")) {
-      jobs.putIfAbsent(job.get("name_id").asText(), job);
+      String id = job.get("name_id").asText();
+      running.describe(id, () -> jobs.putIfAbsent(id, job));
     }
     return ++clock;
   }
@@ -178,7 +208,7 @@
     if (status == 200 || status == 201) {
       // A repeat may say anything beside the id; the first one that was taken in is the job.
       if (!accepted.containsKey(id)) {
-        jobs.put(id, job);
+        running.describe(id, () -> jobs.put(id, job));
         String never = Liveness.neverRuns(world, job);
         if (never != null) {
           broken("senseless", id + " is accepted: " + never);
@@ -226,7 +256,8 @@
 
   /** A worker is about to start a task. */
   public void starts(FakeWorker on, String task) {
-    for (FakeWorker w : world.cloud.workers.values()) {
+    for (FakeWorker w : List.copyOf(running.with(task))) {
+      w.expire();
       if (w != on && w.has(task)) {
         broken("ran_twice", task + " is on " + w.id + " and starts on " + on.id);
       }
@@ -247,51 +278,58 @@
 
   private void quota(ObjectNode job) {
     Team team = world.teams.get(job.path("crew").asText());
-    double cores = job.path("cores").asDouble();
-    double gpus = job.path("gpus").asDouble();
-    for (FakeWorker w : world.cloud.workers.values()) {
-      for (String t : w.tasks()) {
-        ObjectNode other = jobs.get(jobOf(t));
-        if (other != null && other.path("crew").equals(job.path("crew"))) {
-          cores += other.path("cores").asDouble();
-          gpus += other.path("gpus").asDouble();
-        }
-      }
+    if (team == null || withinLimit(team, running.usedBy(team.name()).plus(amounts(job)))) {
+      return;
     }
-    if (team != null && (cores > team.cpusMax() + 1e-6 || gpus > team.gpusMax() + 1e-6)) {
-      broken("quota", team.name() + " uses " + cores + " cores and " + gpus + " gpus");
+    // The sum may still hold tasks of workers whose leases have run out.
+    Amounts used = usedBy(team.name()).plus(amounts(job));
+    if (!withinLimit(team, used)) {
+      broken("quota", team.name() + " uses " + used.cpus() + " cores and " + used.gpus() + " gpus");
     }
   }
 
+  private static boolean withinLimit(Team team, Amounts used) {
+    return used.cpus() <= team.cpusMax() + ROUNDING && used.gpus() <= team.gpusMax() + ROUNDING;
+  }
+
   private void place(FakeWorker on, String task, ObjectNode job) {
+    if (!placeAllowed(on, task, job)) {
+      // Tasks of workers whose leases have run out do not count.
+      present(jobOf(task));
+      if (!placeAllowed(on, task, job)) {
+        broken("wrong_place", task + " starts on " + on.id + " in " + on.zone);
+      }
+    }
+  }
+
+  private boolean placeAllowed(FakeWorker on, String task, ObjectNode job) {
     JsonNode types = job.path("hosttypes");
     boolean typeAllowed = !types.isArray() || types.isEmpty();
     for (JsonNode t : types) {
       typeAllowed |= t.asText().equals(on.type);
     }
     String only = job.path("yard").asText("");
-    List<FakeWorker> mates =
-        world.cloud.workers.values().stream()
-            .filter(
-                w ->
-                    w.tasks().stream()
-                        .anyMatch(t -> jobOf(t).equals(jobOf(task)) && !t.equals(task)))
-            .toList();
+    boolean oneZone = job.path("one_zone").asBoolean();
     boolean apart = job.path("apart").asBoolean();
-    int most = (job.path("pieces").asInt() + 1) / 2;
-    long here =
-        mates.stream()
-            .filter(w -> w.zone.equals(on.zone))
-            .flatMap(w -> w.tasks().stream())
-            .filter(t -> jobOf(t).equals(jobOf(task)) && !t.equals(task))
-            .count();
-    if (!typeAllowed
-        || !only.isEmpty() && !only.equals("null") && !only.equals(on.zone)
-        || on.spot && !job.path("loaners").asBoolean()
-        || job.path("one_zone").asBoolean() && mates.stream().anyMatch(w -> !w.zone.equals(on.zone))
-        || apart && here + 1 > most) {
-      broken("wrong_place", task + " starts on " + on.id + " in " + on.zone);
+    boolean allowed =
+        typeAllowed
+            && (only.isEmpty() || only.equals("null") || only.equals(on.zone))
+            && (!on.spot || job.path("loaners").asBoolean());
+    if (!allowed || !oneZone && !apart) {
+      return allowed;
     }
+    int sameZone = 0;
+    int otherZones = 0;
+    for (var e : running.ofJob(jobOf(task)).entrySet()) {
+      if (!e.getKey().equals(task)) {
+        for (FakeWorker w : e.getValue()) {
+          sameZone += w.zone.equals(on.zone) ? 1 : 0;
+          otherZones += w.zone.equals(on.zone) ? 0 : 1;
+        }
+      }
+    }
+    int most = (job.path("pieces").asInt() + 1) / 2;
+    return !(oneZone && otherZones > 0) && !(apart && sameZone + 1 > most);
   }
 
   static String jobOf(String task) {
--- a/src/test/java/io/violetrail/fakes/CheckerTest.java
+++ b/src/test/java/io/violetrail/fakes/CheckerTest.java
@@ -55,6 +55,52 @@
     breaks("quota");
   }
 
+  @Test
+  void whatATeamUsesIsCountedOverAllWorkersAsTasksComeAndGo() {
+    world.teams.put("red", new Team("red", 0, 0, 2, 0));
+    submitted(User.job("job-1", 4));
+    launch(one, "job-1/0");
+    launch(other, "job-1/1");
+    one.execute(Cbor.map().put("verb", "halt").put("piece", "job-1/0").put("try", 1));
+    launch(one, "job-1/2");
+    assertEquals(List.of(), world.broken);
+    launch(other, "job-1/3");
+    breaks("quota");
+  }
+
+  @Test
+  void tasksOfALeaseThatHasRunOutAreGone() {
+    world.teams.put("red", new Team("red", 0, 0, 1, 0));
+    submitted(User.job("job-1", 2).put("one_zone", true));
+    launch(one, "job-1/0");
+    // Between two steps of the worker: it has not noticed yet, but its lease is over.
+    one.answered(world.now() - world.workers.leaseS() - 0.1);
+    launch(other, "job-1/1");
+    launch(other, "job-1/0");
+    breaks("quota");
+    assertEquals(1, world.broken.size(), world.broken.toString());
+  }
+
+  @Test
+  void aRepeatThatSaysSomethingElseChangesWhatItsTasksTake() {
+    world.teams.put("red", new Team("red", 0, 0, 3, 0));
+    world.checker.asks("POST", "/work", Cbor.bytes(User.job("job-1", 2)));
+    launch(one, "job-1/0");
+    user("POST", "/work", User.job("job-1", 2).put("cores", 2.0), 201, "queued");
+    assertEquals(List.of(), world.broken);
+    launch(one, "job-1/1");
+    breaks("quota");
+  }
+
+  @Test
+  void tasksThatMayNotBeTogether() {
+    submitted(User.job("job-1", 2).put("apart", true));
+    launch(one, "job-1/0");
+    assertEquals(List.of(), world.broken);
+    launch(one, "job-1/1");
+    breaks("wrong_place");
+  }
+
   @Test
   void aPlaceThatTheJobDoesNotAllow() {
     submitted(User.job("job-1", 2).put("one_zone", true));
--- a/src/test/java/io/violetrail/fakes/FakeWorker.java
+++ b/src/test/java/io/violetrail/fakes/FakeWorker.java
@@ -35,6 +35,36 @@
     }
   }
 
+  private void put(Piece p) {
+    Piece former = pieces.put(p.task, p);
+    if (former != null && former.isHere()) {
+      world.checker.departed(this, p.task);
+    }
+    if (p.isHere()) {
+      world.checker.arrived(this, p.task);
+    }
+  }
+
+  private void become(Piece p, String status) {
+    boolean before = p.isHere();
+    p.status = status;
+    if (before && !p.isHere()) {
+      world.checker.departed(this, p.task);
+    } else if (!before && p.isHere()) {
+      world.checker.arrived(this, p.task);
+    }
+  }
+
+  private void clear() {
+    List<Piece> all = List.copyOf(pieces.values());
+    pieces.clear();
+    for (Piece p : all) {
+      if (p.isHere()) {
+        world.checker.departed(this, p.task);
+      }
+    }
+  }
+
   public final String id;
   private final World world;
   final String type;
@@ -148,7 +178,7 @@
 
   void destroy() {
     up = false;
-    pieces.clear();
+    clear();
   }
 
   public boolean has(String task) {
@@ -158,9 +188,7 @@
 
   /** The tasks that are on it. */
   Set<String> tasks() {
-    if (up) {
-      expire();
-    }
+    expire();
     return pieces.values().stream()
         .filter(Piece::isHere)
         .map(p -> p.task)
@@ -211,7 +239,7 @@
     for (Piece p : pieces.values()) {
       boolean fails = faulty || world.mistaken.contains(p.task.substring(0, p.task.indexOf('/')));
       if (p.status.equals("running") && (fails || world.now() >= p.ends)) {
-        p.status = "ended";
+        become(p, "ended");
         p.cause = fails ? "error" : "done";
         if (!fails) {
           world.checker.done(p.task);
@@ -234,13 +262,14 @@
     p.task = task;
     p.status = "running";
     p.ends = Double.POSITIVE_INFINITY;
-    pieces.put(task, p);
+    put(p);
   }
 
-  private void expire() {
-    if (world.now() - answered > world.workers.leaseS()) {
+  /** Its lease has run out: it drops all of its tasks and begins its next session. */
+  void expire() {
+    if (up && world.now() - answered > world.workers.leaseS()) {
       session++;
-      pieces.clear();
+      clear();
       answered = world.now();
     }
   }
@@ -290,7 +319,7 @@
       return;
     }
     world.checker.starts(this, p.task);
-    p.status = "running";
+    become(p, "running");
     p.ends = world.now() + runs.getOrDefault(p.task, runS);
     launches++;
     world.launches.add("%.3f %s %s".formatted(world.now(), p.task, id));
@@ -352,7 +381,7 @@
         n.task = task;
         n.attempt = order.get("try").asLong();
         n.status = "fetching";
-        pieces.put(task, n);
+        put(n);
         if (fetchS > 0) {
           world.at(fetchS, () -> fetched(n));
         } else {
@@ -362,7 +391,7 @@
       case "halt" -> {
         boolean same = p != null && p.attempt == order.get("try").asLong();
         if (same && !p.status.equals("ended")) {
-          p.status = "ended";
+          become(p, "ended");
           p.cause = "halted";
         }
       }
--- a/src/test/java/io/violetrail/fakes/FleetCost.java
+++ b/src/test/java/io/violetrail/fakes/FleetCost.java
@@ -5,9 +5,12 @@
 
 /**
  * What one controller's report, placement and submission cost by the number of machines that it
- * alone carries: the fakes' own share is in all of them. Not a test.
+ * alone carries. The time inside the controller's callbacks is charged to the program, the rest of
+ * the run to the fakes. Not a test.
  */
 public final class FleetCost {
+  private static final int SECONDS = 60;
+
   private FleetCost() {}
 
   /** Arguments: numbers of machines. The first one warms up and is not printed. */
@@ -34,23 +37,27 @@
     long looked = node.dispatcher.looked();
     int launched = world.launches.size();
     int writes = world.state.writes;
+    double programBefore = world.controllerCpuS("c2");
     long began = System.nanoTime();
     int jobs = 0;
-    for (int second = 0; second < 60; second++) {
+    for (int second = 0; second < SECONDS; second++) {
       // Three fifths of the room in use all the time.
       if (second % 10 == 0) {
         world.ask("user", "c2", "POST", "/work", Cbor.bytes(User.job("job-" + jobs++, machines)));
       }
       world.run(1);
     }
-    double s = (System.nanoTime() - began) / 1e9;
+    double total = (System.nanoTime() - began) / 1e9;
+    double program = world.controllerCpuS("c2") - programBefore;
+    double reports = SECONDS * machines / world.workers.reportS();
     int placed = world.launches.size() - launched;
     if (print) {
       System.out.printf(
-          "%d machines: %.0f us a report, %.1f machines looked at a placement (%d placed), %.1f"
+          "%d machines: %.0f us a report (and %.0f us of the fakes), %.1f machines looked at a placement (%d placed), %.1f"
               + " writes a submission of %d tasks%n",
           machines,
-          1e6 * s / (60.0 * machines),
+          1e6 * program / reports,
+          1e6 * (total - program) / reports,
           (node.dispatcher.looked() - looked) / (double) Math.max(1, placed),
           placed,
           (world.state.writes - writes) / (double) jobs,
--- a/src/test/java/io/violetrail/fakes/Liveness.java
+++ b/src/test/java/io/violetrail/fakes/Liveness.java
@@ -99,8 +99,7 @@
     int waiting = 0;
     for (int i = 0; i < job.get("pieces").asInt(); i++) {
       String task = id + "/" + i;
-      boolean there = world.cloud.workers.values().stream().anyMatch(w -> w.has(task));
-      waiting += there || checker.ended(task) ? 0 : 1;
+      waiting += checker.isRunning(task) || checker.ended(task) ? 0 : 1;
     }
     if (waiting == 0) {
       return false;
@@ -108,12 +107,9 @@
     int together = job.path("shape").asText().equals("ensemble") ? waiting : 1;
     Amounts task = Checker.amounts(job);
     Team team = world.teams.get(job.path("crew").asText());
-    Amounts left = new Amounts(team.cpusMax(), team.gpusMax(), Double.POSITIVE_INFINITY);
-    for (FakeWorker w : world.cloud.workers.values()) {
-      for (String t : w.tasks()) {
-        left = checker.crewOf(t).equals(team.name()) ? left.minus(checker.takes(t)) : left;
-      }
-    }
+    Amounts left =
+        new Amounts(team.cpusMax(), team.gpusMax(), Double.POSITIVE_INFINITY)
+            .minus(checker.usedBy(team.name()));
     if (left.count(task) < together) {
       return false;
     }
--- a/src/test/java/io/violetrail/fakes/World.java
+++ b/src/test/java/io/violetrail/fakes/World.java
@@ -72,6 +72,7 @@
   private final PriorityQueue<Event> events = new PriorityQueue<>();
   private final Set<String> cut = new HashSet<>();
   private final Map<String, Double> frozenUntil = new HashMap<>();
+  private final Map<String, Long> controllerNanos = new HashMap<>();
   private final List<Runnable> held = new ArrayList<>();
   private Predicate<String> hold = m -> false;
   private Predicate<String> lose = m -> false;
@@ -203,10 +204,17 @@
     if (now < until) {
       at(until - now, () -> awake(name, life, task));
     } else if (lives(name, life)) {
+      long began = System.nanoTime();
       task.run();
+      controllerNanos.merge(name, System.nanoTime() - began, Long::sum);
     }
   }
 
+  /** Processor time that a controller's own callbacks have taken, the fakes' share left out. */
+  public double controllerCpuS(String name) {
+    return controllerNanos.getOrDefault(name, 0L) / 1e9;
+  }
+
   /** A worker's own address answers from now on. */
   void place(FakeWorker worker) {
     places.put(worker.address(), worker.service());
