Instruments: slopes of the program's costs on the fakes

FakeState enforces its limits where asked, counts requests by kind and changes by what the rows are for, and keeps 10,000 changes for watches as the protocol says; World counts messages and bytes by kind and knows delays between hosts; workers may report changes at once. StandIns shares LiveWorld and SettingsFile, and the program's own server, instead of a second one.

--- a/src/test/java/io/violetrail/fakes/FakeCloud.java
+++ b/src/test/java/io/violetrail/fakes/FakeCloud.java
@@ -38,6 +38,9 @@
   /** How long machines that are yet to come fetch an image before a task starts. */
   public double fetchS;
 
+  /** Whether workers keep their reports for {@link FakeWorker#repeat}. */
+  public boolean keepsReports = true;
+
   /** All machines that there have ever been. */
   public final List<FakeWorker> everUp = new ArrayList<>();
 
@@ -46,8 +49,8 @@
 
   private int next;
 
-  /** Small, so that a list has more than one page. */
-  private static final int PAGE = 3;
+  /** Machines on a page of the list; small, so that a list has more than one. */
+  public int page = 3;
 
   FakeCloud(World world) {
     this.world = world;
@@ -73,6 +76,7 @@
             types.stream().filter(t -> t.name().equals(type)).findFirst().orElseThrow().size());
     w.runS = runS;
     w.fetchS = fetchS;
+    w.keepsReports = keepsReports;
     everUp.add(w);
     workers.put(id, w);
     world.place(w);
@@ -121,7 +125,7 @@
     ObjectNode m = Cbor.map().put("truncated", false);
     var hosts = m.putArray("hosts");
     for (String id : new TreeSet<>(workers.keySet()).tailSet(after, false)) {
-      if (hosts.size() == PAGE) {
+      if (hosts.size() == page) {
         return m.put("truncated", true);
       }
       hosts.addObject().put("name_id", id).put("status", "running");
--- a/src/test/java/io/violetrail/fakes/FakeState.java
+++ b/src/test/java/io/violetrail/fakes/FakeState.java
@@ -2,8 +2,10 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.violetrail.net.Budget;
 import io.violetrail.net.Service;
 import io.violetrail.wire.Cbor;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -17,6 +19,9 @@
 public final class FakeState implements Service {
   private record Entry(JsonNode value, long stamp, long lease) {}
 
+  /** One change as watches are told of it. */
+  private record Logged(String key, long stamp, ObjectNode told) {}
+
   private static final class Watch {
     String prefix;
     long after;
@@ -30,7 +35,7 @@
 
   private final World world;
   private final TreeMap<String, Entry> keys = new TreeMap<>();
-  private final List<ObjectNode> log = new ArrayList<>();
+  private final ArrayDeque<Logged> log = new ArrayDeque<>();
   private final List<Watch> watches = new ArrayList<>();
   private final Map<Long, Lease> leases = new HashMap<>();
   public final Set<String> refusedFor = new HashSet<>();
@@ -50,6 +55,26 @@
   /** Puts and deletes asked for, those of refused transactions included. */
   public int writes;
 
+  /** Requests by kind, and puts and deletes by what the rows are for. */
+  public final Map<String, Long> requestsByKind = new TreeMap<>();
+
+  public final Map<String, Long> writesByUse = new TreeMap<>();
+
+  /** Requests that were refused for the limits, which count only if {@link #limited}. */
+  public int overLimit;
+
+  /** Whether the limits of the settings are enforced, with bursts of a second's worth. */
+  public boolean limited;
+
+  private Budget requestBudget;
+  private Budget writeBudget;
+
+  /** As many changes are kept for watches. */
+  private static final int KEPT_CHANGES = 10_000;
+
+  /** The highest revision whose change is no longer kept. */
+  private long forgottenRevision;
+
   private long revision;
   private long lastLease;
 
@@ -101,7 +126,14 @@
 
   private void drop(String key) {
     if (keys.remove(key) != null) {
-      log.add(Cbor.map().put("drop", key).put("stamp", revision));
+      log(key, Cbor.map().put("drop", key));
+    }
+  }
+
+  private void log(String key, ObjectNode told) {
+    log.add(new Logged(key, revision, told.put("stamp", revision)));
+    if (log.size() > KEPT_CHANGES) {
+      forgottenRevision = log.poll().stamp();
     }
   }
 
@@ -115,6 +147,7 @@
     String who = from.substring(0, from.indexOf(' '));
     String path = from.substring(from.indexOf(' ') + 1);
     expire();
+    requestsByKind.merge(Traffic.kind(method, path), 1L, Long::sum);
     if (path.startsWith("/changes")) {
       watch(path, done);
       return;
@@ -125,6 +158,10 @@
     }
     try {
       ObjectNode body = bytes == null || bytes.length == 0 ? Cbor.map() : Cbor.parse(bytes);
+      if (!withinLimits(body)) {
+        done.accept(Answer.error(429, "too many requests"));
+        return;
+      }
       if (path.startsWith("/keys/")) {
         get(path.substring(6), done);
       } else if (path.startsWith("/keys?")) {
@@ -209,6 +246,9 @@
 
   private void txn(ObjectNode body, Consumer<Answer> done) {
     writes += body.path("writes").size();
+    for (JsonNode w : body.path("writes")) {
+      writesByUse.merge(use(w.path(w.has("set") ? "set" : "drop").asText()), 1L, Long::sum);
+    }
     if (body.path("writes").size() > world.stateLimits.txnOps()
         || body.path("if").size() > 4 * world.stateLimits.txnOps()) {
       done.accept(Answer.error(400, "the transaction is too large"));
@@ -242,9 +282,9 @@
         String key = w.get("set").asText();
         largestValue = Math.max(largestValue, w.get("v").toString().length());
         keys.put(key, new Entry(w.get("v"), revision, w.path("hold").asLong()));
-        ObjectNode change = Cbor.map().put("set", key).put("stamp", revision);
+        ObjectNode change = Cbor.map().put("set", key);
         change.set("v", w.get("v"));
-        log.add(change);
+        log(key, change);
       }
     }
     done.accept(Answer.of(200, Cbor.map().put("epoch", revision)));
@@ -252,6 +292,10 @@
   }
 
   private void watch(String path, Consumer<Answer> done) {
+    if (Long.parseLong(parameter(path, "after")) < forgottenRevision) {
+      done.accept(Answer.error(410, "no longer kept"));
+      return;
+    }
     Watch w = new Watch();
     w.prefix = parameter(path, "under");
     w.after = Long.parseLong(parameter(path, "after"));
@@ -261,22 +305,31 @@
         Double.parseDouble(parameter(path, "block_ms")) / 1000,
         () -> {
           if (watches.remove(w)) {
-            done.accept(answer(w));
+            done.accept(answer(changesFor(w), revision));
           }
         });
     tell();
   }
 
-  private Answer answer(Watch w) {
+  private static Answer answer(List<ObjectNode> changes, long revision) {
     ObjectNode m = Cbor.map().put("epoch", revision);
-    var list = m.putArray("log");
-    for (ObjectNode change : log) {
-      String key = change.has("set") ? change.get("set").asText() : change.get("drop").asText();
-      if (change.get("stamp").asLong() > w.after && key.startsWith(w.prefix)) {
-        list.add(change);
+    m.putArray("log").addAll(changes);
+    return Answer.of(200, m);
+  }
+
+  /** What a watch has not been told yet, in the order of the revisions. */
+  private List<ObjectNode> changesFor(Watch w) {
+    ArrayDeque<ObjectNode> fresh = new ArrayDeque<>();
+    for (var newestFirst = log.descendingIterator(); newestFirst.hasNext(); ) {
+      Logged change = newestFirst.next();
+      if (change.stamp() <= w.after) {
+        break;
+      }
+      if (change.key().startsWith(w.prefix)) {
+        fresh.addFirst(change.told());
       }
     }
-    return Answer.of(200, m);
+    return List.copyOf(fresh);
   }
 
   private void tell() {
@@ -284,15 +337,41 @@
       return;
     }
     for (Watch w : List.copyOf(watches)) {
-      Answer a = answer(w);
-      try {
-        if (!Cbor.parse(a.body()).get("log").isEmpty()) {
-          watches.remove(w);
-          w.done.accept(a);
-        }
-      } catch (Cbor.Malformed e) {
-        throw new IllegalStateException(e);
+      List<ObjectNode> fresh = changesFor(w);
+      if (!fresh.isEmpty()) {
+        watches.remove(w);
+        w.done.accept(answer(fresh, revision));
       }
     }
   }
+
+  private boolean withinLimits(ObjectNode body) {
+    if (!limited) {
+      return true;
+    }
+    if (requestBudget == null) {
+      requestBudget = new Budget(world.stateLimits.rps(), world.stateLimits.rps(), world.now());
+      writeBudget =
+          new Budget(world.stateLimits.writeRps(), world.stateLimits.writeRps(), world.now());
+    }
+    boolean within =
+        requestBudget.take(1, world.now())
+            && writeBudget.take(body.path("writes").size(), world.now());
+    overLimit += within ? 0 : 1;
+    return within;
+  }
+
+  /** What a row is for, by its key. */
+  private static String use(String key) {
+    String[] part = key.split("/");
+    String name = part[0].equals("c") && part.length > 1 ? part[1] : part[0];
+    return switch (name) {
+      case "job", "open", "end" -> "job " + name;
+      case "progress" -> "task progress";
+      case "block", "machine", "intake", "types", "hire" -> "machine " + name;
+      case "slice" -> "team slice";
+      case "entity", "alive" -> "move " + name;
+      default -> name;
+    };
+  }
 }
--- a/src/test/java/io/violetrail/fakes/FakeWorker.java
+++ b/src/test/java/io/violetrail/fakes/FakeWorker.java
@@ -20,6 +20,13 @@
 /** A worker by its protocol. It checks on every start that no other worker has the task. */
 public final class FakeWorker {
   private static final double ANSWER_S = 4;
+
+  /** Addresses of controllers that a worker knows at least, of which some may not be there. */
+  private static final int LEAST_KNOWN = 3;
+
+  /** Reports are no closer together than this. */
+  private static final double CLOSEST_S = 0.5;
+
   private static final Exception LOST = new IOException("lost");
 
   private static final class Piece {
@@ -89,6 +96,17 @@
   /** It stands still until then: nothing runs there, and what arrives waits. */
   private double hangsUntil;
 
+  private double reportedS = Double.NEGATIVE_INFINITY;
+
+  /** A report of a change is to be sent in a moment, */
+  private boolean reportDue;
+
+  /** or once the one in flight is answered. */
+  private boolean changedInFlight;
+
+  /** Whether reports are kept for {@link #repeat}; not where there are very many. */
+  public boolean keepsReports = true;
+
   /** Every report so far, to be sent again by {@link #repeat}. */
   private final List<byte[]> reports = new ArrayList<>();
 
@@ -98,6 +116,7 @@
   /** Launches that were sent to it and that it did not hear. */
   public int unheard;
 
+  private HostPort address;
   private String node;
   private int at;
   private long session = 1;
@@ -114,6 +133,7 @@
     this.zone = zone;
     this.spot = spot;
     this.size = size;
+    this.address = new HostPort(id, 9000);
   }
 
   /** What its tasks leave free, by what the jobs say that each takes. */
@@ -126,11 +146,16 @@
   }
 
   HostPort address() {
-    return new HostPort(id, 9000);
+    return address;
+  }
+
+  /** Where it serves, if that is not at its own name. */
+  public void servesAt(HostPort at) {
+    address = at;
   }
 
   /** What can be asked of the worker itself. */
-  Service service() {
+  public Service service() {
     return (method, path, body, done) -> {
       if (up && world.now() < hangsUntil) {
         world.at(hangsUntil - world.now(), () -> service().handle(method, path, body, done));
@@ -171,12 +196,13 @@
   void boot() {
     up = true;
     answered = world.now();
-    at = world.random.nextInt(3);
+    at = world.random.nextInt(Math.max(LEAST_KNOWN, world.controllers()));
     beat();
     every();
   }
 
-  void destroy() {
+  /** It is gone at once, with all that is on it. */
+  public void destroy() {
     up = false;
     clear();
   }
@@ -235,6 +261,14 @@
   }
 
   private void tick() {
+    finish();
+    if (!inFlight) {
+      beat();
+    }
+  }
+
+  /** Tasks whose time is over end. */
+  private void finish() {
     expire();
     for (Piece p : pieces.values()) {
       boolean fails = faulty || world.mistaken.contains(p.task.substring(0, p.task.indexOf('/')));
@@ -246,9 +280,24 @@
         }
       }
     }
-    if (!inFlight) {
-      beat();
+  }
+
+  /** Something has changed that it is to report, at once or as soon as it may. */
+  private void changed() {
+    if (!world.reportsOnChange || reportDue) {
+      return;
     }
+    reportDue = true;
+    world.at(
+        Math.max(0, reportedS + CLOSEST_S - world.now()),
+        () -> {
+          reportDue = false;
+          if (up && inFlight) {
+            changedInFlight = true;
+          } else if (up && world.now() >= hangsUntil) {
+            beat();
+          }
+        });
   }
 
   /** For tests of the checker: somebody has renewed its lease. */
@@ -278,7 +327,8 @@
     if (!world.served()) {
       return;
     }
-    String target = node != null ? node : World.name(at++ % 3);
+    String target =
+        node != null ? node : World.name(at++ % Math.max(LEAST_KNOWN, world.controllers()));
     ObjectNode m =
         Cbor.map().put("host", id).put("hosttype", type).put("yard", zone).put("loaners", spot);
     m.put("endpoint", address().host() + ":" + address().port());
@@ -295,7 +345,10 @@
     long inSession = session;
     inFlight = true;
     byte[] report = Cbor.bytes(m);
-    reports.add(report);
+    reportedS = sent;
+    if (keepsReports) {
+      reports.add(report);
+    }
     if (outboundCut) {
       world.at(ANSWER_S, () -> answered(null, LOST, target, sent, inSession));
       return;
@@ -322,7 +375,18 @@
     become(p, "running");
     p.ends = world.now() + runs.getOrDefault(p.task, runS);
     launches++;
-    world.launches.add("%.3f %s %s".formatted(world.now(), p.task, id));
+    world.started(p.task, id);
+    changed();
+    if (world.reportsOnChange) {
+      world.at(
+          p.ends - world.now(),
+          () -> {
+            if (up && world.now() >= hangsUntil) {
+              finish();
+              changed();
+            }
+          });
+    }
   }
 
   private static int launches(Http.Reply r) {
@@ -341,6 +405,10 @@
     if (up) {
       answer(r, failure, target, sent, inSession);
     }
+    if (changedInFlight) {
+      changedInFlight = false;
+      changed();
+    }
   }
 
   private void answer(Http.Reply r, Throwable failure, String target, double sent, long inSession) {
--- a/src/test/java/io/violetrail/fakes/StandIns.java
+++ b/src/test/java/io/violetrail/fakes/StandIns.java
@@ -1,23 +1,12 @@
 package io.violetrail.fakes;
 
-import io.undertow.Undertow;
-import io.undertow.server.DefaultByteBufferPool;
-import io.undertow.server.HttpHandler;
-import io.undertow.server.HttpServerExchange;
-import io.undertow.util.Headers;
-import io.undertow.util.SameThreadExecutor;
 import io.violetrail.config.Settings.HostPort;
-import io.violetrail.net.Service;
 import io.violetrail.net.UndertowHttp;
-import io.violetrail.net.UndertowLoop;
 import java.io.IOException;
-import java.nio.ByteBuffer;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import org.xnio.OptionMap;
-import org.xnio.Options;
-import org.xnio.Xnio;
-import org.xnio.XnioWorker;
+import java.util.LinkedHashMap;
+import java.util.Map;
 
 /**
  * The state service, the cloud and its workers as one process on loopback, for controllers that are
@@ -25,13 +14,11 @@
  * stories' own fakes, run by the real clock.
  */
 public final class StandIns {
-  private static final String HOST = "127.0.0.1";
-  private static final double STEP_S = 0.005;
+  private static final double ANSWER_S = 4;
+
   private final World world;
   private final int port;
   private final int controllers;
-  private UndertowLoop loop;
-  private double lastS;
 
   private StandIns(int port, int controllers, double taskS) {
     this.port = port;
@@ -55,124 +42,40 @@
   }
 
   private HostPort api(int i) {
-    return new HostPort(HOST, port + 10 + i);
+    return new HostPort(LiveWorld.HOST, port + 10 + i);
+  }
+
+  private HostPort listen(int i) {
+    return new HostPort(LiveWorld.HOST, port + 20 + i);
   }
 
   private String settings(int i) {
-    StringBuilder known = new StringBuilder();
+    Map<String, HostPort> peers = new LinkedHashMap<>();
     for (int k = 0; k < controllers; k++) {
       if (k != i) {
-        known.append(
-            "[[known]]\nlabel = \"c%d\"\nzone = \"a\"\naddress = \"%s:%d\"\n"
-                .formatted(k, HOST, port + 20 + k));
+        peers.put(World.name(k), listen(k));
       }
     }
-    return """
-        label = "c%d"
-        zone = "a"
-        api_addr = "%s:%d"
-        cluster_listen = "%s:%d"
-        %s
-        [external]
-        cloud = "%s:%d"
-        state = "%s:%d"
-        [cluster]
-        time_bound_ms = 50.0
-        [[cluster.teams]]
-        name = "red"
-        [cluster.workers]
-        report_s = 1.0
-        lease_s = 10.0
-        gang_wait_s = 45.0
-        gang_peer_s = 4.0
-        cancel_s = 40.0
-        [cluster.state]
-        rps = %.1f
-        write_rps = %.1f
-        value_kb = 8.0
-        txn_ops = 24
-        [cluster.cloud]
-        rps = 20.0
-        list_lag_s = 5.0
-        [cluster.limits]
-        cpu_share = 1.0
-        memory_mb = 176.0
-        sockets = 700
-        """
-        .formatted(
-            i,
-            HOST,
-            api(i).port(),
-            HOST,
-            port + 20 + i,
-            known,
-            HOST,
-            port + 1,
-            HOST,
-            port,
-            world.stateLimits.rps(),
-            world.stateLimits.writeRps());
+    return SettingsFile.text(
+        world,
+        World.name(i),
+        "a",
+        new SettingsFile.Addresses(
+            api(i),
+            listen(i),
+            peers,
+            new HostPort(LiveWorld.HOST, port + 1),
+            new HostPort(LiveWorld.HOST, port)));
   }
 
   private void start() throws IOException {
-    XnioWorker worker =
-        Xnio.getInstance()
-            .createWorker(
-                OptionMap.builder()
-                    .set(Options.WORKER_IO_THREADS, 1)
-                    .set(Options.WORKER_TASK_CORE_THREADS, 1)
-                    .set(Options.WORKER_TASK_MAX_THREADS, 1)
-                    .getMap());
-    var buffers = new DefaultByteBufferPool(true, 8 * 1024, 256, 0);
-    loop = new UndertowLoop(worker.getIoThread());
-    var http = new UndertowHttp(worker.getIoThread(), loop, buffers);
+    LiveWorld live = new LiveWorld(world);
+    UndertowHttp http = live.newHttp();
     world.outside =
-        (node, method, path, body) ->
-            http.call(api(Integer.parseInt(node.substring(1))), method, path, body, 4);
-    lastS = loop.seconds();
-    loop.every(
-        STEP_S,
-        () -> {
-          double now = loop.seconds();
-          world.run(now - lastS);
-          lastS = now;
-        });
-    serve(port, world.state, worker, buffers);
-    serve(port + 1, world.cloud, worker, buffers);
-  }
-
-  private void serve(int at, Service service, XnioWorker worker, DefaultByteBufferPool buffers) {
-    Undertow.builder()
-        .addHttpListener(at, HOST)
-        .setWorker(worker)
-        .setByteBufferPool(buffers)
-        .setHandler(handler(service))
-        .build()
-        .start();
-  }
-
-  private HttpHandler handler(Service service) {
-    return exchange ->
-        exchange
-            .getRequestReceiver()
-            .receiveFullBytes(
-                (ex, body) ->
-                    ex.dispatch(
-                        SameThreadExecutor.INSTANCE,
-                        () -> loop.locked(() -> serve(ex, body, service))));
-  }
-
-  private static void serve(HttpServerExchange ex, byte[] body, Service service) {
-    String query = ex.getQueryString();
-    String path = ex.getRequestPath() + (query.isEmpty() ? "" : "?" + query);
-    service.handle(
-        ex.getRequestMethod().toString(),
-        "process " + path,
-        body,
-        answer -> {
-          ex.setStatusCode(answer.status());
-          ex.getResponseHeaders().put(Headers.CONTENT_TYPE, answer.type());
-          ex.getResponseSender().send(ByteBuffer.wrap(answer.body()));
-        });
+        (from, node, method, path, body) ->
+            http.call(api(Integer.parseInt(node.substring(1))), method, path, body, ANSWER_S);
+    live.start();
+    live.serve(port, LiveWorld.askedBy("process", world.state));
+    live.serve(port + 1, LiveWorld.askedBy("process", world.cloud));
   }
 }
--- /dev/null
+++ b/src/test/java/io/violetrail/fakes/Traffic.java
@@ -0,0 +1,66 @@
+package io.violetrail.fakes;
+
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Messages and bytes between the parts of a deployment, by kind of message. */
+public final class Traffic {
+  /** What one kind of message amounts to; bytes of bodies, without headers. */
+  public static final class Count {
+    public long messages;
+    public long requestBytes;
+    public long answerBytes;
+  }
+
+  private final Map<String, Count> byKind = new TreeMap<>();
+
+  void asked(String kind, byte[] body) {
+    Count c = of(kind);
+    c.messages++;
+    c.requestBytes += body == null ? 0 : body.length;
+  }
+
+  void answered(String kind, byte[] body) {
+    of(kind).answerBytes += body == null ? 0 : body.length;
+  }
+
+  /** The count of a kind; all zero if there was none. */
+  public Count of(String kind) {
+    return byKind.computeIfAbsent(kind, k -> new Count());
+  }
+
+  public Map<String, Count> byKind() {
+    return byKind;
+  }
+
+  /** The kind of a request, by the interface that it belongs to. */
+  public static String kind(String method, String path) {
+    if (path.equals("/agent/beat")) {
+      return "worker report";
+    }
+    if (path.equals("/peer")) {
+      return "controller to controller";
+    }
+    if (path.startsWith("/work")) {
+      return path.endsWith("/abort")
+          ? "user cancels"
+          : method.equals("POST") ? "user submits" : "user asks";
+    }
+    if (path.startsWith("/keys?")) {
+      return "state list";
+    }
+    if (path.startsWith("/keys/")) {
+      return "state read";
+    }
+    if (path.startsWith("/txn")) {
+      return "state transaction";
+    }
+    if (path.startsWith("/leases")) {
+      return "state lease";
+    }
+    if (path.startsWith("/changes")) {
+      return "state watch";
+    }
+    return path.startsWith("/hosts") || path.startsWith("/flavors") ? "cloud" : "worker command";
+  }
+}
--- a/src/test/java/io/violetrail/fakes/World.java
+++ b/src/test/java/io/violetrail/fakes/World.java
@@ -31,7 +31,9 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
+import java.util.function.ToDoubleBiFunction;
 
 /**
  * A whole deployment in memory: virtual time, a network that can lose and hold back, the state
@@ -39,6 +41,11 @@
  */
 public final class World {
   private static final double DELAY_S = 0.005;
+
+  /** How long users and workers wait for an answer. */
+  private static final double USER_S = 5;
+
+  private static final double WORKER_S = 4;
   public static final HostPort STATE = new HostPort("state", 1);
   public static final HostPort CLOUD = new HostPort("cloud", 1);
 
@@ -60,6 +67,9 @@
   public static final int KUBERNETES_PORT = 6443;
   public final Map<String, KubernetesApi> kubernetesApis = new HashMap<>();
 
+  /** Whether launches are kept in {@link #launches}; not where there are very many. */
+  public boolean keepsLaunches = true;
+
   /** Every launch as "time task machine", in order. */
   public final List<String> launches = new ArrayList<>();
 
@@ -72,6 +82,30 @@
   private final PriorityQueue<Event> events = new PriorityQueue<>();
   private final Set<String> cut = new HashSet<>();
   private final Map<String, Double> frozenUntil = new HashMap<>();
+
+  /** What was sent so far. */
+  public final Traffic traffic = new Traffic();
+
+  /**
+   * Whether workers report when something changes, as the protocol has it, or by the clock only.
+   */
+  public boolean reportsOnChange;
+
+  /** The operators' settings that controllers start with. */
+  public Options options = Options.DEFAULTS;
+
+  /** What the users state for their classes. */
+  public List<Objective> objectives = List.of(new Objective("wait", "urgent", 8, 0.9, 1));
+
+  /** How long a message takes between two hosts, one way. */
+  public ToDoubleBiFunction<String, String> delayS = (from, to) -> DELAY_S;
+
+  /** Told of each worker that is made. */
+  public Consumer<FakeWorker> onWorker = worker -> {};
+
+  /** Told of each task that a worker starts. */
+  public Consumer<String> onStart = task -> {};
+
   private final Map<String, Long> controllerNanos = new HashMap<>();
   private final List<Runnable> held = new ArrayList<>();
   private Predicate<String> hold = m -> false;
@@ -109,6 +143,11 @@
     return "c" + i;
   }
 
+  /** How many controllers the deployment has. */
+  public int controllers() {
+    return count;
+  }
+
   public double now() {
     return now;
   }
@@ -147,7 +186,7 @@
     Node node =
         new Node(
             settings,
-            Options.DEFAULTS,
+            options,
             loop,
             (to, method, path, body, timeout) -> call(name, life, to, method, path, body, timeout),
             new Random(random.nextLong()));
@@ -215,9 +254,18 @@
     return controllerNanos.getOrDefault(name, 0L) / 1e9;
   }
 
+  /** A worker has started a task. */
+  void started(String task, String worker) {
+    if (keepsLaunches) {
+      launches.add("%.3f %s %s".formatted(now, task, worker));
+    }
+    onStart.accept(task);
+  }
+
   /** A worker's own address answers from now on. */
   void place(FakeWorker worker) {
     places.put(worker.address(), worker.service());
+    onWorker.accept(worker);
   }
 
   private boolean lives(String name, int life) {
@@ -286,6 +334,8 @@
       double timeoutS) {
     CompletableFuture<Http.Reply> future = new CompletableFuture<>();
     String message = from + " " + to.host() + " " + method + " " + path;
+    String kind = Traffic.kind(method, path);
+    traffic.asked(kind, body);
     at(
         timeoutS,
         () -> {
@@ -303,8 +353,9 @@
                 body,
                 answer ->
                     at(
-                        DELAY_S,
+                        delayS.applyAsDouble(to.host(), from),
                         () -> {
+                          traffic.answered(kind, answer.body());
                           if (!lost(from, to, message)) {
                             back(
                                 from,
@@ -317,7 +368,7 @@
           }
         };
     at(
-        DELAY_S,
+        delayS.applyAsDouble(from, to.host()),
         () -> {
           if (refuse.test(message)
               || lives.containsKey(to.host()) && !nodes.containsKey(to.host())) {
@@ -358,7 +409,8 @@
 
   /** A way to controllers outside of this world. */
   public interface Outside {
-    CompletableFuture<Http.Reply> ask(String node, String method, String path, byte[] body);
+    CompletableFuture<Http.Reply> ask(
+        String from, String node, String method, String path, byte[] body);
   }
 
   /** Whether there is any controller to report to. */
@@ -369,12 +421,12 @@
   /** A user's or worker's call to a controller. */
   public CompletableFuture<Http.Reply> ask(
       String from, String node, String method, String path, byte[] body) {
-    if (outside != null) {
-      return outside.ask(node, method, path, body);
-    }
     boolean user = from.equals("user");
     long asked = user ? checker.asks(method, path, body) : 0;
-    var answer = call(from, -1, api(node), method, path, body, user ? 5 : 4);
+    var answer =
+        outside != null
+            ? outside.ask(from, node, method, path, body)
+            : call(from, -1, api(node), method, path, body, user ? USER_S : WORKER_S);
     return user
         ? answer.whenComplete((r, failure) -> checker.answered(asked, method, path, body, r))
         : answer;
@@ -401,7 +453,7 @@
         STATE,
         0.1,
         teams,
-        List.of(new Objective("wait", "urgent", 8, 0.9, 1)),
+        objectives,
         workers,
         stateLimits,
         new CloudLimits(20, 5),
--- /dev/null
+++ b/src/test/java/io/violetrail/scale/Deployment.java
@@ -0,0 +1,88 @@
+package io.violetrail.scale;
+
+import io.violetrail.config.Options;
+import io.violetrail.config.Settings.Objective;
+import io.violetrail.config.Settings.StateLimits;
+import io.violetrail.config.Settings.Team;
+import io.violetrail.config.Settings.Workers;
+import io.violetrail.fakes.World;
+import io.violetrail.model.Amounts;
+import io.violetrail.model.MachineType;
+import java.util.List;
+import java.util.stream.IntStream;
+
+/** Sets a world up as a deployment of a load's shape: machine types, teams, zones, delays. */
+final class Deployment {
+  static final String GENERAL = "general32";
+  static final String ACCELERATED = "accel48";
+
+  /** 225 of 1,700 machines with 8 accelerators each make 1,800. */
+  private static final double ACCELERATED_SHARE = 225.0 / 1_700;
+
+  /** Urgent work is to start within this. */
+  static final double URGENT_START_S = 2.1;
+
+  /** Every team may use so many times its even part of the fleet. */
+  private static final double LIMIT_PARTS = 10;
+
+  /** Longer than any run. */
+  static final double NEVER_IDLE_S = 86_400;
+
+  private static final double SAME_REGION_S = 0.001;
+  private static final double GENERAL_CPUS = 32;
+
+  private Deployment() {}
+
+  static void configure(World world, LoadShape shape, StateLimits stateLimits) {
+    world.stateLimits = stateLimits;
+    world.state.limited = true;
+    world.workers = new Workers(3, 17.5, 50, 6, 37.5);
+    // The fleet keeps its size: no machine is returned for being idle.
+    world.options = new Options(null, NEVER_IDLE_S, Options.DEFAULTS.sample(), null, null, false);
+    world.reportsOnChange = true;
+    world.keepsLaunches = false;
+    world.cloud.keepsReports = false;
+    world.cloud.page = 500;
+    world.cloud.capacity = shape.workers();
+    world.cloud.runS = shape.taskS();
+    world.objectives = List.of(new Objective("wait", JobMix.URGENT, URGENT_START_S, 0.9, 1));
+    List<String> zones = IntStream.range(0, LoadShape.ZONES).mapToObj(LoadShape::zone).toList();
+    world.cloud.types.clear();
+    world.cloud.types.add(
+        new MachineType(GENERAL, new Amounts(GENERAL_CPUS, 0, 64), 50, 1, 2, 0.5, 30, zones));
+    world.cloud.types.add(
+        new MachineType(ACCELERATED, new Amounts(48, 8, 384), 100, 1, 24, 5, 45, zones));
+    world.teams.clear();
+    double fleetCpus = shape.workers() * GENERAL_CPUS;
+    for (int i = 0; i < shape.teams(); i++) {
+      String name = JobMix.team(i);
+      double part = fleetCpus / shape.teams();
+      double limit = Math.min(fleetCpus, Math.max(shape.gangWidth() * 2.0, LIMIT_PARTS * part));
+      world.teams.put(name, new Team(name, part, 0, limit, shape.workers()));
+    }
+    world.delayS =
+        (from, to) ->
+            region(world, from).equals(region(world, to)) ? SAME_REGION_S : shape.regionDelayS();
+  }
+
+  /** The machines that are there from the start, spread over the zones. */
+  static void machines(World world, LoadShape shape) {
+    int accelerated = (int) Math.round(shape.workers() * ACCELERATED_SHARE);
+    for (int i = 0; i < shape.workers(); i++) {
+      world.cloud.given(
+          i < accelerated ? ACCELERATED : GENERAL, LoadShape.zone(i % LoadShape.ZONES));
+    }
+  }
+
+  /**
+   * The region of a host: controllers in turn, workers by their zone, the services in the first.
+   */
+  static String region(World world, String host) {
+    var worker = world.cloud.workers.get(host);
+    if (worker != null) {
+      return LoadShape.regionOf(worker.zone());
+    }
+    boolean controller = host.matches("c\\d+");
+    return "r" + (controller ? Integer.parseInt(host.substring(1)) % LoadShape.REGIONS : 0);
+  }
+}
--- /dev/null
+++ b/src/test/java/io/violetrail/scale/JobMix.java
@@ -0,0 +1,94 @@
+package io.violetrail.scale;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.violetrail.wire.Cbor;
+import java.util.Random;
+
+/**
+ * Draws the jobs of a load: urgent gangs in one zone, jobs with accelerators, and wide arrays of
+ * small tasks that bring the mean up to the load's tasks per job.
+ */
+final class JobMix {
+  /** The class whose start is promised soon. */
+  static final String URGENT = "urgent";
+
+  private static final double URGENT_SHARE = 0.2;
+  private static final double ACCELERATED_SHARE = 0.1;
+  private static final int ACCELERATED_TASKS = 8;
+  private static final double SMALL_TASK_CPUS = 1;
+  private static final double SMALL_TASK_GB = 1.5;
+
+  private final LoadShape shape;
+  private final Random random;
+  private int jobs;
+
+  JobMix(LoadShape shape, Random random) {
+    this.shape = shape;
+    this.random = random;
+  }
+
+  ObjectNode next() {
+    double kind = random.nextDouble();
+    if (kind < URGENT_SHARE) {
+      return job(URGENT, "ensemble", "high", gangTasks(), 0).put("one_zone", true);
+    }
+    if (kind < URGENT_SHARE + ACCELERATED_SHARE) {
+      return job("accelerated", "batch", "normal", ACCELERATED_TASKS, 1);
+    }
+    return job("array", "batch", "normal", arrayTasks(), 0);
+  }
+
+  /** Half of the gangs have two tasks, a quarter four, and so on up to the widest. */
+  private int gangTasks() {
+    int tasks = 2;
+    while (tasks * 2 <= shape.gangWidth() && random.nextBoolean()) {
+      tasks *= 2;
+    }
+    return Math.min(tasks, shape.gangWidth());
+  }
+
+  private double meanGangTasks() {
+    double mean = 0;
+    double rest = 1;
+    int tasks = 2;
+    while (tasks * 2 <= shape.gangWidth()) {
+      rest /= 2;
+      mean += rest * tasks;
+      tasks *= 2;
+    }
+    return mean + rest * Math.min(tasks, shape.gangWidth());
+  }
+
+  private int arrayTasks() {
+    double others = URGENT_SHARE * meanGangTasks() + ACCELERATED_SHARE * ACCELERATED_TASKS;
+    double mean = (shape.tasksPerJob() - others) / (1 - URGENT_SHARE - ACCELERATED_SHARE);
+    // Between a half and one and a half times the mean.
+    return (int) Math.max(1, Math.round(mean * (0.5 + random.nextDouble())));
+  }
+
+  private ObjectNode job(String jobClass, String kind, String priority, int tasks, double gpus) {
+    int number = jobs++;
+    return Cbor.map()
+        .put("name_id", "job-%06d".formatted(number))
+        .put("jobclass", jobClass)
+        .put("crew", team(random.nextInt(shape.teams())))
+        .put("shape", kind)
+        .put("urgency", priority)
+        .put("pieces", tasks)
+        .put("cores", SMALL_TASK_CPUS)
+        .put("gpus", gpus)
+        .put("mem_gb", SMALL_TASK_GB)
+        .put("bundle", "image-" + number % 16)
+        .put("pull_gb", 0.5)
+        .put("one_zone", false)
+        .put("apart", false)
+        .put("loaners", false)
+        .put("guess_s", shape.taskS())
+        .put("snapshot_s", 0.0)
+        .put("flush_s", 0.0);
+  }
+
+  static String team(int number) {
+    return "team-%03d".formatted(number);
+  }
+}
--- /dev/null
+++ b/src/test/java/io/violetrail/scale/LoadShape.java
@@ -0,0 +1,91 @@
+package io.violetrail.scale;
+
+/**
+ * The size of a deployment and of the load on it.
+ *
+ * @param controllers how many
+ * @param workers machines, spread evenly over {@link #ZONES} zones in {@link #REGIONS} regions
+ * @param runningTasks tasks that run at the same time once the load is steady
+ * @param startsPerS task starts a second
+ * @param jobsPerS submissions a second
+ * @param teams teams with a guarantee and a limit
+ * @param gangWidth tasks of the widest gang
+ * @param regionDelayS one way between two regions
+ */
+public record LoadShape(
+    int controllers,
+    int workers,
+    int runningTasks,
+    double startsPerS,
+    double jobsPerS,
+    int teams,
+    int gangWidth,
+    double regionDelayS) {
+  public static final int REGIONS = 3;
+  public static final int ZONES = 9;
+
+  /**
+   * The size that the design is for: 19,000 jobs a day make 920 starts a second when they come at
+   * 21 times their average rate with 200 tasks each.
+   */
+  public static final LoadShape TARGET = new LoadShape(7, 1_700, 33_000, 920, 4.6, 270, 128, 0.015);
+
+  /** How long a task runs. */
+  public double taskS() {
+    return runningTasks / startsPerS;
+  }
+
+  public double tasksPerJob() {
+    return startsPerS / jobsPerS;
+  }
+
+  /** The name of a zone, which begins with its region's. */
+  public static String zone(int number) {
+    int zonesPerRegion = ZONES / REGIONS;
+    return "r" + number / zonesPerRegion + "z" + number % zonesPerRegion;
+  }
+
+  public static String regionOf(String zone) {
+    return zone.substring(0, zone.indexOf('z'));
+  }
+
+  public LoadShape withControllers(int n) {
+    return new LoadShape(
+        n, workers, runningTasks, startsPerS, jobsPerS, teams, gangWidth, regionDelayS);
+  }
+
+  public LoadShape withWorkers(int n) {
+    return new LoadShape(
+        controllers, n, runningTasks, startsPerS, jobsPerS, teams, gangWidth, regionDelayS);
+  }
+
+  public LoadShape withRunningTasks(int n) {
+    return new LoadShape(
+        controllers, workers, n, startsPerS, jobsPerS, teams, gangWidth, regionDelayS);
+  }
+
+  public LoadShape withStartsPerS(double n) {
+    return new LoadShape(
+        controllers, workers, runningTasks, n, jobsPerS, teams, gangWidth, regionDelayS);
+  }
+
+  public LoadShape withJobsPerS(double n) {
+    return new LoadShape(
+        controllers, workers, runningTasks, startsPerS, n, teams, gangWidth, regionDelayS);
+  }
+
+  public LoadShape withTeams(int n) {
+    return new LoadShape(
+        controllers, workers, runningTasks, startsPerS, jobsPerS, n, gangWidth, regionDelayS);
+  }
+
+  public LoadShape withGangWidth(int n) {
+    return new LoadShape(
+        controllers, workers, runningTasks, startsPerS, jobsPerS, teams, n, regionDelayS);
+  }
+
+  public LoadShape withRegionDelayS(double s) {
+    return new LoadShape(
+        controllers, workers, runningTasks, startsPerS, jobsPerS, teams, gangWidth, s);
+  }
+}
