Instruments: the scale run, real controllers under the load of a large deployment

Change: ScaleRun starts up to seven controllers and a state service as processes on loopback; the cloud, its hollow workers, the users and the network between all of them, with delays and cuts, are the tool's own process.

--- a/src/test/java/io/violetrail/fakes/FakeWorker.java
+++ b/src/test/java/io/violetrail/fakes/FakeWorker.java
@@ -243,6 +243,11 @@
     return node;
   }
 
+  /** Whether it has had a report answered with a term. */
+  public boolean hasOwner() {
+    return token > 0 && node != null;
+  }
+
   public int active() {
     return (int) pieces.values().stream().filter(p -> !p.status.equals("ended")).count();
   }
@@ -373,7 +378,7 @@
     }
     world.checker.starts(this, p.task);
     become(p, "running");
-    p.ends = world.now() + runs.getOrDefault(p.task, runS);
+    p.ends = world.now() + runs.getOrDefault(p.task, world.runS.applyAsDouble(runS));
     launches++;
     world.started(p.task, id);
     changed();
--- a/src/test/java/io/violetrail/fakes/LiveWorld.java
+++ b/src/test/java/io/violetrail/fakes/LiveWorld.java
@@ -28,6 +28,7 @@
   private final DefaultByteBufferPool buffers =
       new DefaultByteBufferPool(true, BUFFER_BYTES, BUFFERS, 0);
   private double lastS;
+  private volatile boolean stopped;
 
   public LiveWorld(World world) throws IOException {
     this.world = world;
@@ -55,13 +56,17 @@
   /** Lets the world's time pass from now on. */
   public void start() {
     lastS = loop.seconds();
-    loop.every(
-        STEP_S,
-        () -> {
-          double now = loop.seconds();
-          world.run(now - lastS);
-          lastS = now;
-        });
+    loop.after(STEP_S, this::step);
+  }
+
+  private void step() {
+    if (stopped) {
+      return;
+    }
+    double now = loop.seconds();
+    world.run(now - lastS);
+    lastS = now;
+    loop.after(STEP_S, this::step);
   }
 
   /** Serves at a port of the loopback address. */
@@ -74,7 +79,9 @@
     return (method, path, body, done) -> service.handle(method, who + " " + path, body, done);
   }
 
+  /** Ends the world's time and all connections. */
   public void stop() {
+    stopped = true;
     worker.shutdownNow();
   }
 }
--- a/src/test/java/io/violetrail/fakes/Traffic.java
+++ b/src/test/java/io/violetrail/fakes/Traffic.java
@@ -14,13 +14,13 @@
 
   private final Map<String, Count> byKind = new TreeMap<>();
 
-  void asked(String kind, byte[] body) {
+  public void asked(String kind, byte[] body) {
     Count c = of(kind);
     c.messages++;
     c.requestBytes += body == null ? 0 : body.length;
   }
 
-  void answered(String kind, byte[] body) {
+  public void answered(String kind, byte[] body) {
     of(kind).answerBytes += body == null ? 0 : body.length;
   }
 
--- a/src/test/java/io/violetrail/fakes/World.java
+++ b/src/test/java/io/violetrail/fakes/World.java
@@ -32,6 +32,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.function.DoubleUnaryOperator;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleBiFunction;
 
@@ -100,6 +101,9 @@
   /** How long a message takes between two hosts, one way. */
   public ToDoubleBiFunction<String, String> delayS = (from, to) -> DELAY_S;
 
+  /** How long a task really runs, from how long its worker's tasks run on average. */
+  public DoubleUnaryOperator runS = averageS -> averageS;
+
   /** Told of each worker that is made. */
   public Consumer<FakeWorker> onWorker = worker -> {};
 
--- a/src/test/java/io/violetrail/scale/Deployment.java
+++ b/src/test/java/io/violetrail/scale/Deployment.java
@@ -45,6 +45,7 @@
     world.cloud.page = 500;
     world.cloud.capacity = shape.workers();
     world.cloud.runS = shape.taskS();
+    world.runS = averageS -> averageS * (0.5 + world.random.nextDouble());
     world.objectives = List.of(new Objective("wait", JobMix.URGENT, URGENT_START_S, 0.9, 1));
     List<String> zones = IntStream.range(0, LoadShape.ZONES).mapToObj(LoadShape::zone).toList();
     world.cloud.types.clear();
@@ -60,9 +61,12 @@
       double limit = Math.min(fleetCpus, Math.max(shape.gangWidth() * 2.0, LIMIT_PARTS * part));
       world.teams.put(name, new Team(name, part, 0, limit, shape.workers()));
     }
+    Zones whereabouts = new Zones(world);
     world.delayS =
         (from, to) ->
-            region(world, from).equals(region(world, to)) ? SAME_REGION_S : shape.regionDelayS();
+            whereabouts.region(from).equals(whereabouts.region(to))
+                ? SAME_REGION_S
+                : shape.regionDelayS();
   }
 
   /** The machines that are there from the start, spread over the zones. */
@@ -73,16 +77,4 @@
           i < accelerated ? ACCELERATED : GENERAL, LoadShape.zone(i % LoadShape.ZONES));
     }
   }
-
-  /**
-   * The region of a host: controllers in turn, workers by their zone, the services in the first.
-   */
-  static String region(World world, String host) {
-    var worker = world.cloud.workers.get(host);
-    if (worker != null) {
-      return LoadShape.regionOf(worker.zone());
-    }
-    boolean controller = host.matches("c\\d+");
-    return "r" + (controller ? Integer.parseInt(host.substring(1)) % LoadShape.REGIONS : 0);
-  }
 }
--- /dev/null
+++ b/src/test/java/io/violetrail/scale/Logging.java
@@ -0,0 +1,12 @@
+package io.violetrail.scale;
+
+/** Keeps the libraries' start-up lines out of a tool's output. */
+final class Logging {
+  private Logging() {}
+
+  /** To be called before anything is logged. */
+  static void errorsOnly() {
+    System.setProperty("org.jboss.logging.provider", "slf4j");
+    System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", "error");
+  }
+}
--- a/src/test/java/io/violetrail/scale/OpenLoad.java
+++ b/src/test/java/io/violetrail/scale/OpenLoad.java
@@ -43,6 +43,11 @@
   long tasksSubmitted;
   long starts;
 
+  private int widestGangStarted;
+
+  /** Counted submissions that are not accepted yet, with their scheduled times. */
+  private final Map<String, Double> underWay = new HashMap<>();
+
   private boolean counts;
   private double countsSinceS = Double.POSITIVE_INFINITY;
 
@@ -94,6 +99,7 @@
     int tasks = job.get("pieces").asInt();
     if (counts) {
       submitted++;
+      underWay.put(job.get("name_id").asText(), scheduledS);
       tasksSubmitted += tasks;
       if (job.get("jobclass").asText().equals(JobMix.URGENT)) {
         urgent.put(job.get("name_id").asText(), new Urgent(scheduledS, tasks));
@@ -113,6 +119,7 @@
     if (status == 200 || status == 201) {
       if (counted) {
         accepted++;
+        underWay.remove(job.get("name_id").asText());
         record(acceptedMs, world.now() - scheduledS);
       }
       world.at(POLL_S, () -> poll(job.get("name_id").asText()));
@@ -158,10 +165,34 @@
     Urgent job = urgent.get(id);
     if (job != null && job.started.add(task) && job.started.size() == job.tasks) {
       urgent.remove(id);
+      widestGangStarted = Math.max(widestGangStarted, job.tasks);
       record(urgentStartMs, world.now() - job.scheduledS);
     }
   }
 
+  /** The part of all counted submissions that was accepted within so many seconds. */
+  double acceptedWithin(double seconds) {
+    long inTime = acceptedMs.getCountBetweenValues(0, Math.round(seconds * 1000));
+    return inTime / (double) Math.max(1, submitted - tooRecent(seconds));
+  }
+
+  /** Submissions that are not answered yet and still may be in time. */
+  private long tooRecent(double seconds) {
+    return underWay.values().stream().filter(at -> world.now() - at <= seconds).count();
+  }
+
+  /** The part of urgent jobs that came so many seconds ago and had not started by then. */
+  double urgentLateShare(double withinS) {
+    long late = urgentLate(withinS);
+    long inTime = urgentStartMs.getCountBetweenValues(0, Math.round(withinS * 1000));
+    long all = urgentStartMs.getTotalCount() + late;
+    return all == 0 ? 0 : 1 - inTime / (double) all;
+  }
+
+  int widestGangStarted() {
+    return widestGangStarted;
+  }
+
   /** Urgent jobs that came in time to have started within so many seconds, and have not. */
   long urgentLate(double withinS) {
     return urgent.values().stream().filter(j -> world.now() - j.scheduledS > withinS).count();
--- /dev/null
+++ b/src/test/java/io/violetrail/scale/ScaleOptions.java
@@ -0,0 +1,100 @@
+package io.violetrail.scale;
+
+import java.nio.file.Path;
+import picocli.CommandLine.Option;
+
+/** What the scale run is asked for. */
+final class ScaleOptions {
+  @Option(names = "--controllers", description = "controller processes (${DEFAULT-VALUE})")
+  int controllers = LoadShape.TARGET.controllers();
+
+  @Option(names = "--workers", description = "hollow workers (${DEFAULT-VALUE})")
+  int workers = LoadShape.TARGET.workers();
+
+  @Option(
+      names = "--running",
+      description = "tasks that run at the same time once the load is steady (${DEFAULT-VALUE})")
+  int runningTasks = LoadShape.TARGET.runningTasks();
+
+  @Option(names = "--starts", description = "task starts a second (${DEFAULT-VALUE})")
+  double startsPerS = LoadShape.TARGET.startsPerS();
+
+  @Option(names = "--jobs", description = "submissions a second (${DEFAULT-VALUE})")
+  double jobsPerS = LoadShape.TARGET.jobsPerS();
+
+  @Option(names = "--teams", description = "teams with a limit (${DEFAULT-VALUE})")
+  int teams = LoadShape.TARGET.teams();
+
+  @Option(names = "--gang", description = "tasks of the widest gang (${DEFAULT-VALUE})")
+  int gangWidth = LoadShape.TARGET.gangWidth();
+
+  @Option(
+      names = "--region-delay-ms",
+      description = "one way between two regions (${DEFAULT-VALUE})")
+  double regionDelayMs = 1000 * LoadShape.TARGET.regionDelayS();
+
+  @Option(
+      names = "--state-changes",
+      description = "changes a second that the state service takes (${DEFAULT-VALUE})")
+  double changesPerS = 200;
+
+  @Option(
+      names = "--state-requests",
+      description = "requests a second that the state service takes (${DEFAULT-VALUE})")
+  double requestsPerS = 1_000;
+
+  @Option(
+      names = "--warm-up",
+      description =
+          "seconds of load before anything counts; default: until tasks that run are as many as"
+              + " are asked for, and 10 more")
+  Double warmUpS;
+
+  @Option(names = "--seconds", description = "measured time (${DEFAULT-VALUE})")
+  double seconds = 60;
+
+  @Option(names = "--seed", description = "of the load and of what fails (${DEFAULT-VALUE})")
+  long seed = 1;
+
+  @Option(
+      names = "--fault",
+      split = ",",
+      paramLabel = "KIND@SECOND[:FOR]",
+      description =
+          "controller, rack, zone or regions, and the measured second at which it happens; zones"
+              + " and regions are cut off for so many seconds. Repeat it or separate by commas")
+  Fault[] faults = {};
+
+  @Option(names = "--port", description = "first port on loopback; default: a free block")
+  Integer port;
+
+  @Option(
+      names = "--controller",
+      paramLabel = "COMMAND",
+      description =
+          "a controller's command, to which the settings file is appended; default: that of"
+              + " deploy/service.toml once the project is packaged, else this class path")
+  String controllerCommand;
+
+  @Option(names = "--directory", description = "for settings and logs (${DEFAULT-VALUE})")
+  Path directory = Path.of("target", "scale");
+
+  @Option(names = "--report", description = "JSON file for all figures")
+  Path report;
+
+  LoadShape shape() {
+    return new LoadShape(
+        controllers,
+        workers,
+        runningTasks,
+        startsPerS,
+        jobsPerS,
+        teams,
+        gangWidth,
+        regionDelayMs / 1000);
+  }
+
+  double warmUpSeconds() {
+    return warmUpS == null ? shape().taskS() + 10 : warmUpS;
+  }
+}
--- /dev/null
+++ b/src/test/java/io/violetrail/scale/ScaleRunTest.java
@@ -0,0 +1,73 @@
+package io.violetrail.scale;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The scale run itself, with two controller processes and a few workers for some seconds. */
+class ScaleRunTest {
+  private static final String[] TINY = {
+    "--controllers",
+    "2",
+    "--workers",
+    "12",
+    "--running",
+    "24",
+    "--starts",
+    "12",
+    "--jobs",
+    "3",
+    "--teams",
+    "3",
+    "--gang",
+    "4",
+    "--warm-up",
+    "2",
+    "--seconds",
+    "4"
+  };
+
+  @TempDir private Path dir;
+
+  private JsonNode run(String... more) throws Exception {
+    Path report = dir.resolve("report.json");
+    String[] common = {"--directory", dir.toString(), "--report", report.toString()};
+    String[] args =
+        java.util.stream.Stream.of(TINY, common, more)
+            .flatMap(java.util.Arrays::stream)
+            .toArray(String[]::new);
+    int status = ScaleRun.execute(args);
+    JsonNode written = new ObjectMapper().readTree(report.toFile());
+    boolean failed = false;
+    for (JsonNode verdict : written.get("verdicts")) {
+      failed |= verdict.get("outcome").asText().equals(ScaleReport.FAIL);
+    }
+    assertEquals(failed ? 1 : 0, status);
+    return written;
+  }
+
+  @Test
+  void jobsRunAndEverythingIsCounted() throws Exception {
+    JsonNode report = run();
+    assertEquals(12, report.at("/figures/workers_served").asInt());
+    assertTrue(report.at("/figures/starts_a_s").asDouble() > 0);
+    assertTrue(report.at("/figures/submitted").asInt() > 0);
+    assertTrue(report.at("/stateChangesPerS/job job").asDouble() > 0);
+    assertEquals(0, report.get("brokenRules").size());
+    assertEquals(2, report.get("controllers").size());
+    JsonNode one = report.at("/controllers/c0");
+    assertTrue(one.get("residentMib").asDouble() > 0);
+    assertTrue(one.at("/messages/worker report/messages").asDouble() > 0);
+  }
+
+  @Test
+  void aWrongCommandLineIsSaidAndNothingRuns() {
+    assertEquals(2, ScaleRun.execute("--fault", "earthquake@3"));
+    assertEquals(2, ScaleRun.execute("--workers", "many"));
+  }
+}
--- a/src/test/java/io/violetrail/scale/Slopes.java
+++ b/src/test/java/io/violetrail/scale/Slopes.java
@@ -130,7 +130,7 @@
   record Point(double size, int seed, Map<String, Double> figures) {}
 
   public static void main(String[] args) {
-    System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", "error");
+    Logging.errorsOnly();
     System.exit(new CommandLine(new Slopes()).execute(args));
   }
 
