Quota transfer: fewer and faster moves of slices, Sharing split by concern

Whoever lacked a part asked every entity for all of it; all wrote the team's row, one won, and each loser listed all common rows. What was still lacking waited for the next asking, 0.7 s later. Change: the first asking splits what is lacking between as few entities as may have it free; a refused write reads the one row and is drawn up anew, unless others have given enough meanwhile. A part is given only while the stored slice without it still covers what is in use, so a try whose answer was lost cannot take what runs. Sharing (454 lines) becomes QuotaTransfer, MachineTransfer, TransferRequests and RequestOrder; QuotaTransfer does not know Node. Need is ResourceRequest.

--- a/src/main/java/io/violetrail/fleet/Fleet.java
+++ b/src/main/java/io/violetrail/fleet/Fleet.java
@@ -291,7 +291,9 @@
       }
       boolean urgent = spares.urgent(job.spec, node.types().values());
       boolean peersFirst =
-          !urgent && now - job.arrivedS < Sharing.FIRST_S && node.directory.aliveCount() > 1;
+          !urgent
+              && now - job.arrivedS < TransferRequests.FIRST_S
+              && node.directory.aliveCount() > 1;
       boolean probe = job.trial.suspect() && placeable(h, job);
       if (job.mayStart(now) == 0 || job.recovered && uncertain || peersFirst || probe) {
         continue;
--- a/src/main/java/io/violetrail/peer/Peers.java
+++ b/src/main/java/io/violetrail/peer/Peers.java
@@ -50,7 +50,7 @@
     CANCEL,
     HAND_BACK,
     MOVED,
-    NEED,
+    RESOURCES,
     SOLD_OUT,
     /** Whether workers are heard there. */
     HEARS
@@ -58,7 +58,7 @@
 
   /** A question about a job or an entity. */
   public record Question(
-      Kind kind, String from, String subject, long number, ArrayList<Need> needs) {
+      Kind kind, String from, String subject, long number, ArrayList<ResourceRequest> requests) {
     Question(Kind kind, String from, String subject, long number) {
       this(kind, from, subject, number, new ArrayList<>());
     }
@@ -93,8 +93,9 @@
   /** Writes and reads a message, so that the classes for it are loaded. */
   public static void rehearse(JobSpec spec) {
     Peers p = new Peers(null, null);
-    ArrayList<Need> needs = new ArrayList<>(List.of(Need.machines(spec, 1, 0, 1, false, true)));
-    p.read(p.bytes(new Question(Kind.NEED, "a", "b", 0, needs)), Question.class);
+    ArrayList<ResourceRequest> requests =
+        new ArrayList<>(List.of(ResourceRequest.machines(spec, 1, 0, 1, false, true)));
+    p.read(p.bytes(new Question(Kind.RESOURCES, "a", "b", 0, requests)), Question.class);
     p.read(p.bytes(Reply.of(new JobView("a", JobView.Status.DONE, 1, 0))), Reply.class);
   }
 
@@ -105,7 +106,7 @@
       kryo.setReferences(false);
       kryo.setMaxDepth(8);
       kryo.register(ArrayList.class);
-      kryo.register(Need.class);
+      kryo.register(ResourceRequest.class);
       kryo.register(Kind.class);
       kryo.register(Question.class);
       kryo.register(Reply.class);
@@ -186,10 +187,14 @@
   }
 
   /** Asks all peers for machines or slices that an entity held here lacks. */
-  public void askFor(ControllerId entity, List<Need> needs) {
+  public void askFor(ControllerId entity, List<ResourceRequest> requests) {
     Question q =
         new Question(
-            Kind.NEED, node.settings.self().value(), entity.value(), 0, new ArrayList<>(needs));
+            Kind.RESOURCES,
+            node.settings.self().value(),
+            entity.value(),
+            0,
+            new ArrayList<>(requests));
     node.settings.peers().keySet().stream()
         .filter(node.directory::isAlive)
         .forEach(p -> call(p, q, TIMEOUT_S));
@@ -258,8 +263,8 @@
         }
         reply.accept(Reply.UNKNOWN);
       }
-      case NEED -> {
-        node.sharing.asked(new ControllerId(q.subject()), q.needs());
+      case RESOURCES -> {
+        node.transfers.asked(new ControllerId(q.subject()), q.requests());
         reply.accept(Reply.UNKNOWN);
       }
       case MOVED -> {
--- a/src/main/java/io/violetrail/scheduling/Dispatcher.java
+++ b/src/main/java/io/violetrail/scheduling/Dispatcher.java
@@ -286,7 +286,7 @@
               : placeGang(h, job, open, quota, now);
       left.put(job.spec.team(), quota.minus(used));
     }
-    node.sharing.ask(h);
+    node.transfers.ask(h);
   }
 
   /** Fills what has become free on a machine, for the answer to its report. */
@@ -339,7 +339,7 @@
 
   /** What is left of the entity's slice of a team's limit. */
   public Amounts quota(Holding h, String team, double now) {
-    return node.sharing.slice(h.entity(), team).minus(h.used(team, now));
+    return node.quotas.free(h, team, now);
   }
 
   private Amounts placeTasks(
