The budget for changes is lent by need

Cause: the state service's changes a second were divided evenly among the controllers. With seven, a controller's burst waited behind its own seventh while the others had changes left; submissions were turned away though three quarters of the budget was used. Change: BudgetLending. Whoever has more to write than its bucket holds asks its peers four times a second; a peer that has nothing waiting takes what it can spare out of its own bucket and gives it away, keeping half a second's worth. The sum of all buckets never grows; a lost answer is spent.

--- a/src/main/java/io/violetrail/net/Budget.java
+++ b/src/main/java/io/violetrail/net/Budget.java
@@ -35,6 +35,24 @@
     return tokens >= Math.min(n, burst);
   }
 
+  /** What is there beyond {@code keep}. */
+  public double spare(double keep, double now) {
+    refill(now);
+    return Math.max(0, tokens - keep);
+  }
+
+  /** How much of {@code n} is missing. */
+  public double lacking(double n, double now) {
+    refill(now);
+    return Math.max(0, n - tokens);
+  }
+
+  /** Adds what another bucket has given up, above the burst if need be. */
+  public void add(double n, double now) {
+    refill(now);
+    tokens += n;
+  }
+
   public double burst() {
     return burst;
   }
@@ -52,7 +70,8 @@
   }
 
   private void refill(double now) {
-    tokens = Math.min(burst, tokens + (now - last) * perSecond);
+    // What was added above the burst stays, and grows no further.
+    tokens = Math.max(tokens, Math.min(burst, tokens + (now - last) * perSecond));
     last = now;
   }
 }
--- a/src/main/java/io/violetrail/node/Node.java
+++ b/src/main/java/io/violetrail/node/Node.java
@@ -145,6 +145,7 @@
     if (configuration.canChange()) {
       loop.every(RETURN_EXCESS_S, () -> quotas.returnExcess(membership.holdings()));
     }
+    peers.start();
     dispatcher.start();
     fleet.start();
     hearing.start();
--- a/src/main/java/io/violetrail/peer/Peers.java
+++ b/src/main/java/io/violetrail/peer/Peers.java
@@ -38,11 +38,26 @@
   private final Node node;
   private final Http http;
   private final Views views = new Views(this::views);
+  private final BudgetLending lending;
   private Kryo kryo;
 
   public Peers(Node node, Http http) {
     this.node = node;
     this.http = http;
+    this.lending =
+        node == null
+            ? null
+            : new BudgetLending(
+                node.settings, node.loop, node.store, node.directory, this::askForBudget);
+  }
+
+  public void start() {
+    lending.start();
+  }
+
+  private void askForBudget(ControllerId peer, long units) {
+    Question question = new Question(Kind.BUDGET, node.settings.self().value(), "", units);
+    call(peer, question, TIMEOUT_S).thenAccept(r -> lending.borrowed(r.number()));
   }
 
   /** What is asked. */
@@ -56,7 +71,9 @@
     /** Whether workers are heard there. */
     HEARS,
     /** Which revision of the configuration the controller goes by. */
-    CONFIGURATION
+    CONFIGURATION,
+    /** A part of the peer's budget for changes. */
+    BUDGET
   }
 
   /** A question about a job or an entity. */
@@ -69,20 +86,27 @@
 
   /** An answer: whether it is known, and the states of the jobs asked for that are. */
   public record Reply(
-      boolean known, ArrayList<View> views, ArrayList<ConfigurationState> configuration) {
+      boolean known,
+      ArrayList<View> views,
+      ArrayList<ConfigurationState> configuration,
+      long number) {
     static final Reply UNKNOWN = new Reply(false, new ArrayList<>());
     static final Reply YES = new Reply(true, new ArrayList<>());
 
     Reply(boolean known, ArrayList<View> views) {
-      this(known, views, new ArrayList<>());
+      this(known, views, new ArrayList<>(), 0);
     }
 
     static Reply of(JobView v) {
       return new Reply(true, new ArrayList<>(List.of(View.of(v))));
     }
 
+    static Reply of(long number) {
+      return new Reply(true, new ArrayList<>(), new ArrayList<>(), number);
+    }
+
     static Reply of(ConfigurationState state) {
-      return new Reply(true, new ArrayList<>(), new ArrayList<>(List.of(state)));
+      return new Reply(true, new ArrayList<>(), new ArrayList<>(List.of(state)), 0);
     }
   }
 
@@ -281,6 +305,7 @@
     switch (q.kind()) {
       case VIEW -> reply.accept(views(q.subject()));
       case HEARS -> reply.accept(node.hearing.hears() ? Reply.YES : Reply.UNKNOWN);
+      case BUDGET -> reply.accept(Reply.of(lending.lend(q.number())));
       case CONFIGURATION -> {
         ConfigurationState state = node.configuration.state();
         reply.accept(state == null ? Reply.UNKNOWN : Reply.of(state));
--- a/src/main/java/io/violetrail/state/GroupCommit.java
+++ b/src/main/java/io/violetrail/state/GroupCommit.java
@@ -46,6 +46,9 @@
   /** Writes that a transaction must find in the budget; it may take more. */
   private static final int NARROW = 2;
 
+  /** What a transaction that is yet to be drawn up is taken to write: a job and its sheet. */
+  private static final int UNDRAFTED = 3;
+
   /** Requests under way at the same time: one may be slow without holding up the next. */
   private static final int IN_FLIGHT = 3;
 
@@ -148,6 +151,22 @@
     return part.done;
   }
 
+  /** Changes that users and machines wait for; progress is not counted, nobody waits for it. */
+  double changesWaiting() {
+    double sum = 0;
+    for (Lane lane : List.of(Lane.USERS, Lane.MACHINES)) {
+      for (Part p : lanes.get(lane)) {
+        sum += p.txn == null ? UNDRAFTED : p.writes();
+      }
+    }
+    return sum;
+  }
+
+  /** More of the budget is there. */
+  void wake() {
+    next.in(0);
+  }
+
   private void flush() {
     boolean waits = false;
     while (inFlight < IN_FLIGHT) {
--- a/src/main/java/io/violetrail/state/StateStore.java
+++ b/src/main/java/io/violetrail/state/StateStore.java
@@ -46,6 +46,9 @@
 
   private static final int PAGE = 500;
 
+  /** The part of a second's changes that a lender keeps for what comes next. */
+  private static final double KEPT_OF_BURST = 0.5;
+
   private final Loop loop;
   private final Http http;
   private final Settings settings;
@@ -246,6 +249,28 @@
     return group.add(txn, GroupCommit.Lane.PROGRESS);
   }
 
+  /** Changes that wait and that this controller's part of the budget does not allow now. */
+  public double changesShort() {
+    return writes.lacking(group.changesWaiting(), loop.seconds());
+  }
+
+  /** Gives up so many changes of this controller's part, or what it can spare of them. */
+  public double lendChanges(double wanted) {
+    double now = loop.seconds();
+    if (group.changesWaiting() > 0) {
+      return 0;
+    }
+    double lent = Math.min(wanted, writes.spare(KEPT_OF_BURST * writes.burst(), now));
+    writes.force(lent, now);
+    return lent;
+  }
+
+  /** Another controller has given up so many changes of its part for this one. */
+  public void borrowedChanges(double changes) {
+    writes.add(changes, loop.seconds());
+    group.wake();
+  }
+
   /** This controller's part of the writes. */
   public double writesPerSecond() {
     return writes.burst();
