Configuration: parts are named by their own digests

Change: each part holds a fixed number of entries and is named by the digest of what it holds, so revisions share equal parts; a controller reads the parts that it does not have.

--- a/src/main/java/io/violetrail/configuration/ClusterConfiguration.java
+++ b/src/main/java/io/violetrail/configuration/ClusterConfiguration.java
@@ -114,8 +114,12 @@
 
   /** Equal for equal contents, whatever the order of their fields. */
   public String digest() {
+    return digest(tree());
+  }
+
+  static String digest(JsonNode tree) {
     return Hashing.sha256()
-        .hashString(KubeJson.canonical(tree()), StandardCharsets.UTF_8)
+        .hashString(KubeJson.canonical(tree), StandardCharsets.UTF_8)
         .toString()
         .substring(0, DIGEST_CHARS);
   }
--- a/src/main/java/io/violetrail/configuration/ConfigurationFollower.java
+++ b/src/main/java/io/violetrail/configuration/ConfigurationFollower.java
@@ -1,8 +1,10 @@
 package io.violetrail.configuration;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import io.violetrail.config.Settings;
 import io.violetrail.config.Settings.Objective;
 import io.violetrail.config.Settings.Team;
+import io.violetrail.configuration.ConfigurationParts.Assembled;
 import io.violetrail.net.Loop;
 import io.violetrail.ownership.Directory;
 import io.violetrail.ownership.Timing;
@@ -13,6 +15,8 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -55,6 +59,10 @@
   private final List<Runnable> listeners = new ArrayList<>();
   private ClusterConfiguration content;
   private ConfigurationHead head = ConfigurationHead.NONE;
+
+  /** The parts of the content in force, which the next one mostly shares. */
+  private Map<String, JsonNode> parts = Map.of();
+
   private double confirmedS = Double.NEGATIVE_INFINITY;
   private long inForceSinceMs;
   private boolean reading;
@@ -163,10 +171,10 @@
                 directory.apply(new Change(row.key(), row.value(), row.stamp()));
               }
               if (found.stamp() <= head.stamp()) {
-                return java.util.concurrent.CompletableFuture.completedFuture(
-                    new Read(found, content));
+                return CompletableFuture.completedFuture(
+                    new Read(found, new Assembled(content, parts)));
               }
-              return ConfigurationParts.read(store, found.newest())
+              return ConfigurationParts.read(store, found.newest(), parts)
                   .thenApply(read -> new Read(found, read));
             })
         .whenComplete(
@@ -184,12 +192,13 @@
             });
   }
 
-  private record Read(ConfigurationHead head, ClusterConfiguration content) {}
+  private record Read(ConfigurationHead head, Assembled assembled) {}
 
   private void confirmed(Read read, double sentS) {
     if (read.head().stamp() > head.stamp()) {
       head = read.head();
-      content = read.content();
+      content = read.assembled().content();
+      parts = read.assembled().parts();
       inForceSinceMs = loop.wallMillis();
       LOG.info(
           "configuration revision {} of {} ({}) is in force",
--- a/src/main/java/io/violetrail/configuration/ConfigurationHead.java
+++ b/src/main/java/io/violetrail/configuration/ConfigurationHead.java
@@ -10,8 +10,9 @@
 
 /**
  * The row that says which revision is in force, with the last ones before it. Its content stands in
- * parts, rows named by the content's digest, since a few hundred teams do not fit one value. One
- * conditional write of this row puts all parts in force at once.
+ * parts, rows named by the digests of what they hold, since a few hundred teams do not fit one
+ * value; revisions share the parts that are equal. One conditional write of this row puts all parts
+ * in force at once.
  *
  * @param revisions the newest first
  * @param stamp the row's; 0 if there is none, and the platform's file is in force
@@ -31,14 +32,14 @@
    * One revision.
    *
    * @param digest of its content
-   * @param parts how many rows hold it
+   * @param parts digests of the rows that hold it, in order
    * @param request names the request that asked for it
    * @param asked digest of what was asked for, before teams that it leaves out were closed
    */
   public record Revision(
       long number,
       String digest,
-      int parts,
+      List<String> parts,
       String request,
       String asked,
       String who,
@@ -46,16 +47,12 @@
       long atMs) {
 
     List<String> keys() {
-      List<String> keys = new ArrayList<>();
-      for (int i = 0; i < parts; i++) {
-        keys.add(partKey(digest, i));
-      }
-      return keys;
+      return parts.stream().map(ConfigurationHead::partKey).toList();
     }
   }
 
-  static String partKey(String digest, int part) {
-    return PARTS + digest + "/" + part;
+  static String partKey(String digest) {
+    return PARTS + digest;
   }
 
   long number() {
@@ -88,10 +85,11 @@
     ObjectNode value = Cbor.map();
     ArrayNode list = value.putArray("revisions");
     for (Revision r : revisions) {
-      list.addObject()
+      ObjectNode revision = list.addObject();
+      r.parts().forEach(revision.putArray("parts")::add);
+      revision
           .put("number", r.number())
           .put("digest", r.digest())
-          .put("parts", r.parts())
           .put("request", r.request())
           .put("asked", r.asked())
           .put("who", r.who())
@@ -107,11 +105,13 @@
     }
     List<Revision> all = new ArrayList<>();
     for (JsonNode r : row.value().path("revisions")) {
+      List<String> parts = new ArrayList<>();
+      r.path("parts").forEach(p -> parts.add(p.asText()));
       all.add(
           new Revision(
               r.path("number").asLong(),
               r.path("digest").asText(),
-              r.path("parts").asInt(),
+              List.copyOf(parts),
               r.path("request").asText(),
               r.path("asked").asText(),
               r.path("who").asText(),
--- a/src/main/java/io/violetrail/configuration/ConfigurationWriter.java
+++ b/src/main/java/io/violetrail/configuration/ConfigurationWriter.java
@@ -107,14 +107,19 @@
     CompletableFuture<ClusterConfiguration> former =
         head.newest() == null
             ? CompletableFuture.completedFuture(ClusterConfiguration.of(settings))
-            : ConfigurationParts.read(store, head.newest());
+            : read(head.newest());
     CompletableFuture<ClusterConfiguration> asked =
         change.content() != null
             ? CompletableFuture.completedFuture(change.content())
-            : ConfigurationParts.read(store, head.revision(change.rollbackTo()));
+            : read(head.revision(change.rollbackTo()));
     return former.thenCombine(asked, Contents::new);
   }
 
+  private CompletableFuture<ClusterConfiguration> read(Revision revision) {
+    return ConfigurationParts.read(store, revision, Map.of())
+        .thenApply(ConfigurationParts.Assembled::content);
+  }
+
   private CompletableFuture<Result> store(
       ConfigurationChange change, ConfigurationHead head, Contents contents, int tries) {
     ClusterConfiguration next = contents.asked().after(contents.former());
@@ -125,20 +130,20 @@
               head.number(),
               "with the closed teams there are more than " + ConfigurationFormat.MAX_TEAMS));
     }
-    List<ObjectNode> parts =
+    Map<String, ObjectNode> parts =
         ConfigurationParts.split(next, settings.stateLimits().valueBytes(), loop.wallMillis());
     Revision revision =
         new Revision(
             head.number() + 1,
             next.digest(),
-            parts.size(),
+            List.copyOf(parts.keySet()),
             change.request(),
             change.asked(),
             change.who(),
             change.why(),
             loop.wallMillis());
     ConfigurationHead newHead = bounded(head.with(revision));
-    return storeParts(revision, parts)
+    return storeParts(parts)
         .thenCompose(stamps -> storeHead(head, newHead, stamps))
         .thenCompose(
             applied -> {
@@ -169,26 +174,37 @@
   }
 
   /** Writes the parts that are not there yet; completes with the stamps of all of them. */
-  private CompletableFuture<Map<String, Long>> storeParts(
-      Revision revision, List<ObjectNode> parts) {
+  private CompletableFuture<Map<String, Long>> storeParts(Map<String, ObjectNode> parts) {
     Map<String, Long> stamps = new TreeMap<>();
     List<CompletableFuture<Void>> writes = new ArrayList<>();
-    for (int i = 0; i < parts.size(); i++) {
-      String key = ConfigurationHead.partKey(revision.digest(), i);
-      writes.add(
-          store
-              .settle(new Txn().when(key, 0).set(key, parts.get(i)))
-              .thenCompose(
-                  outcome ->
-                      outcome.applied()
-                          ? CompletableFuture.completedFuture(outcome.revision())
-                          : store.getForUser(key).thenApply(row -> row.stamp()))
-              .thenAccept(stamp -> stamps.put(key, stamp)));
-    }
+    parts.forEach(
+        (digest, part) -> {
+          String key = ConfigurationHead.partKey(digest);
+          writes.add(storePart(key, part).thenAccept(stamp -> stamps.put(key, stamp)));
+        });
     return CompletableFuture.allOf(writes.toArray(CompletableFuture[]::new))
         .thenApply(nothing -> stamps);
   }
 
+  /** Completes with the part's stamp; most parts are there from the revision before. */
+  private CompletableFuture<Long> storePart(String key, ObjectNode part) {
+    return store
+        .getNow(key)
+        .thenCompose(
+            there -> {
+              if (there.value() != null) {
+                return CompletableFuture.completedFuture(there.stamp());
+              }
+              return store
+                  .settle(new Txn().when(key, 0).set(key, part))
+                  .thenCompose(
+                      outcome ->
+                          outcome.applied()
+                              ? CompletableFuture.completedFuture(outcome.revision())
+                              : store.getNow(key).thenApply(row -> row.stamp()));
+            });
+  }
+
   private CompletableFuture<Boolean> storeHead(
       ConfigurationHead before, ConfigurationHead next, Map<String, Long> partStamps) {
     Txn txn =
