--- a/src/main/java/io/violetrail/api/Progress.java
+++ b/src/main/java/io/violetrail/api/Progress.java
@@ -178,7 +178,7 @@
       }
       Slot slot = slots.get(number);
       slot.stamp = e.stamp();
-      e.value().fields().forEachRemaining(f -> take(slot, f.getKey(), f.getValue().asText()));
+      e.value().properties().forEach(f -> take(slot, f.getKey(), f.getValue().asText()));
     }
   }
 
--- a/src/main/java/io/violetrail/api/Sheets.java
+++ b/src/main/java/io/violetrail/api/Sheets.java
@@ -134,8 +134,8 @@
     if (entry.value() != null) {
       entry
           .value()
-          .fields()
-          .forEachRemaining(f -> page.ends.put(new JobId(f.getKey()), f.getValue().asText()));
+          .properties()
+          .forEach(f -> page.ends.put(new JobId(f.getKey()), f.getValue().asText()));
     }
     page.ends.keySet().forEach(this::leave);
   }
@@ -150,8 +150,8 @@
     sheet.jobs.clear();
     JsonNode value = entry.value() == null ? Cbor.map() : entry.value();
     value
-        .fields()
-        .forEachRemaining(
+        .properties()
+        .forEach(
             f -> {
               JobId id = new JobId(f.getKey());
               ArrayNode packed = (ArrayNode) f.getValue();
--- a/src/main/java/io/violetrail/calendar/ScheduleApi.java
+++ b/src/main/java/io/violetrail/calendar/ScheduleApi.java
@@ -368,8 +368,8 @@
   /** Rows and blocks hold moments as numbers, people read them as times. */
   private static JsonNode readable(JsonNode run) {
     ObjectNode m = Cbor.map();
-    run.fields()
-        .forEachRemaining(
+    run.properties()
+        .forEach(
             e -> {
               boolean moment = MOMENTS.contains(e.getKey()) && e.getValue().isNumber();
               if (moment) {
@@ -422,7 +422,7 @@
 
   private ObjectNode shown(ScheduleRow row) {
     ObjectNode m = Cbor.map().put("name", row.name()).put("version", row.version());
-    row.definition().fields().forEachRemaining(e -> m.set(e.getKey(), e.getValue()));
+    row.definition().properties().forEach(e -> m.set(e.getKey(), e.getValue()));
     m.put("paused", row.paused()).put("entity", row.entity().value());
     m.put("settled", Instant.ofEpochMilli(row.cursorMs()).toString());
     try {
--- a/src/main/java/io/violetrail/configuration/ConfigurationFormat.java
+++ b/src/main/java/io/violetrail/configuration/ConfigurationFormat.java
@@ -88,8 +88,8 @@
       for (JsonNode entry : tree.get(list)) {
         text.append("[[cluster.").append(list).append("]]\n");
         entry
-            .fields()
-            .forEachRemaining(
+            .properties()
+            .forEach(
                 f -> {
                   if (!f.getValue().isNull()) {
                     // JSON's texts, numbers and booleans are TOML's as well.
--- a/src/main/java/io/violetrail/kubernetes/KubeObject.java
+++ b/src/main/java/io/violetrail/kubernetes/KubeObject.java
@@ -252,7 +252,7 @@
     meta.put("resourceVersion", String.valueOf(stamp));
     meta.put("generation", value.path("gen").asLong());
     meta.put("creationTimestamp", time(createdMs()));
-    metadata().fields().forEachRemaining(e -> meta.set(e.getKey(), e.getValue()));
+    metadata().properties().forEach(e -> meta.set(e.getKey(), e.getValue()));
     if (deleting()) {
       meta.put("deletionTimestamp", time(value.path("deleting").asLong()));
       meta.putArray("finalizers").add("foregroundDeletion");
--- a/src/main/java/io/violetrail/kubernetes/Pods.java
+++ b/src/main/java/io/violetrail/kubernetes/Pods.java
@@ -167,7 +167,7 @@
         job != null ? job.spec.tasks() : complete ? object.status().path("succeeded").asInt() : 0;
     ObjectNode labels = Cbor.map();
     JsonNode own = object.spec().path("template").path("metadata").path("labels");
-    own.fields().forEachRemaining(e -> labels.set(e.getKey(), e.getValue()));
+    own.properties().forEach(e -> labels.set(e.getKey(), e.getValue()));
     if (object.kind() == Kind.JOB) {
       labels.put("job-name", object.name()).put("batch.kubernetes.io/job-name", object.name());
     }
--- a/src/main/java/io/violetrail/kubernetes/Schema.java
+++ b/src/main/java/io/violetrail/kubernetes/Schema.java
@@ -80,8 +80,8 @@
   Map<String, Annotation> annotations() {
     Map<String, Annotation> all = new TreeMap<>();
     annotations
-        .fields()
-        .forEachRemaining(
+        .properties()
+        .forEach(
             e ->
                 all.put(
                     e.getKey(),
@@ -131,8 +131,8 @@
     Map<String, Field> all = new TreeMap<>();
     walk("", definitions.path(DEFS).path(kind.published()), all);
     refused
-        .fields()
-        .forEachRemaining(
+        .properties()
+        .forEach(
             e -> {
               String path = e.getKey();
               String parent = path.substring(0, Math.max(0, path.lastIndexOf('.')));
@@ -168,8 +168,8 @@
       all.put(path, new Field(path, true, means));
     }
     at.path("properties")
-        .fields()
-        .forEachRemaining(
+        .properties()
+        .forEach(
             e -> {
               String name = e.getKey();
               boolean quoted = name.indexOf('/') >= 0 || name.indexOf('.') >= 0;
--- a/src/main/java/io/violetrail/kubernetes/Translation.java
+++ b/src/main/java/io/violetrail/kubernetes/Translation.java
@@ -89,8 +89,8 @@
     JsonNode labels = spec.path("template").path("metadata").path("labels");
     JsonNode wanted = spec.path("selector").path("matchLabels");
     wanted
-        .fields()
-        .forEachRemaining(
+        .properties()
+        .forEach(
             e -> {
               if (!e.getValue().equals(labels.get(e.getKey()))) {
                 no.add(
--- a/src/main/java/io/violetrail/kubernetes/Updates.java
+++ b/src/main/java/io/violetrail/kubernetes/Updates.java
@@ -165,8 +165,8 @@
         .path("spec")
         .path("selector")
         .path("matchLabels")
-        .fields()
-        .forEachRemaining(e -> selector.add(e.getKey() + "=" + e.getValue().asText()));
+        .properties()
+        .forEach(e -> selector.add(e.getKey() + "=" + e.getValue().asText()));
     status.put("selector", String.join(",", selector));
     return m;
   }
--- a/src/main/java/io/violetrail/ownership/Rows.java
+++ b/src/main/java/io/violetrail/ownership/Rows.java
@@ -216,8 +216,8 @@
     ControllerId entity = blockEntity(key);
     int number = blockNumber(key);
     Map<MachineId, MachineRow> rows = new LinkedHashMap<>();
-    v.fields()
-        .forEachRemaining(
+    v.properties()
+        .forEach(
             f -> {
               MachineId id = new MachineId(f.getKey());
               JsonNode r = f.getValue();
--- a/src/test/java/io/violetrail/scale/ScaleRun.java
+++ b/src/test/java/io/violetrail/scale/ScaleRun.java
@@ -448,8 +448,8 @@
     Map<String, Double> rates = new TreeMap<>();
     after
         .path(field)
-        .fields()
-        .forEachRemaining(
+        .properties()
+        .forEach(
             e ->
                 rates.put(
                     e.getKey(),
