Ledger: ends are not left behind beginnings, and jobs share sheets when changes are short

A transaction held a second's worth of a controller's part, so one job and its sheet, and ends only came after the last beginning. Change: a transaction may write eight rows whatever the part is, so six jobs share a sheet; ends that have waited for a second go first, since many share a page.

--- a/src/main/java/io/violetrail/api/Ledger.java
+++ b/src/main/java/io/violetrail/api/Ledger.java
@@ -45,8 +45,19 @@
   private static final double GATHER_S = 0.01;
   private static final double AGAIN_S = 0.15;
 
-  /** Two jobs that begin, or one that begins and one that ends. */
-  private static final int LEAST_WRITES = 3;
+  /**
+   * A transaction may write so many rows even if that is more than a second's worth: six jobs that
+   * share a sheet, and a page. With a seventh of a small budget each held one job and a sheet, so
+   * that jobs cost nearly twice the changes just when these were short.
+   */
+  private static final int LEAST_WRITES = 8;
+
+  /**
+   * Beginnings go first, but ends that have waited for so long do: they share a page, so they are
+   * cheap. Left behind without end, ended jobs were told as running and kept their entries on the
+   * sheets while submissions used up the budget.
+   */
+  private static final double END_PATIENCE_S = 1;
 
   /** Rows that are not claims in one transaction, which keeps it below the protocol's 64 KiB. */
   private static final int MAX_ROWS = 4;
@@ -73,10 +84,12 @@
     final Companion with;
 
     final CompletableFuture<Boolean> done = new CompletableFuture<>();
+    final double sinceS;
     boolean companionTaken;
     long revision;
 
-    Edit(JobId id, JobSpec spec, long arrivedMs, String end, Companion with) {
+    Edit(JobId id, JobSpec spec, long arrivedMs, String end, Companion with, double sinceS) {
+      this.sinceS = sinceS;
       this.id = id;
       this.spec = spec;
       this.arrivedMs = arrivedMs;
@@ -116,7 +129,7 @@
     if (before != null) {
       return before.done.thenApply(stored -> new Jobs.Stored(false, false, 0));
     }
-    Edit e = new Edit(spec.id(), spec, arrivedMs, null, with);
+    Edit e = new Edit(spec.id(), spec, arrivedMs, null, with, node.loop.seconds());
     entering.put(e.id, e);
     e.done.whenComplete((stored, failure) -> entering.remove(e.id, e));
     return add(e).thenApply(stored -> new Jobs.Stored(stored, e.companionTaken, e.revision));
@@ -124,7 +137,7 @@
 
   /** Stores the end of an open job; fails if the entity has moved. */
   CompletableFuture<Boolean> end(JobId id, Status status, int done) {
-    return add(new Edit(id, null, 0, status.name() + " " + done, null));
+    return add(new Edit(id, null, 0, status.name() + " " + done, null, node.loop.seconds()));
   }
 
   private CompletableFuture<Boolean> add(Edit e) {
@@ -277,7 +290,8 @@
     Draft draft = new Draft();
     ArrayDeque<Edit> rest = new ArrayDeque<>();
     // Users wait for beginnings; an end has until its user's next question.
-    for (boolean begins : new boolean[] {true, false}) {
+    boolean beginningsFirst = !endsWaitLong();
+    for (boolean begins : new boolean[] {beginningsFirst, !beginningsFirst}) {
       for (Edit e : edits) {
         if ((e.spec != null) == begins && !draft.take(e)) {
           rest.add(e);
@@ -289,6 +303,16 @@
     return draft.taken.isEmpty() ? null : draft;
   }
 
+  private boolean endsWaitLong() {
+    double now = node.loop.seconds();
+    for (Edit e : edits) {
+      if (e.spec == null && now - e.sinceS > END_PATIENCE_S) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   private void fail() {
     List<Edit> all = List.copyOf(edits);
     edits.clear();
--- a/src/test/java/io/violetrail/stories/BudgetLendingTest.java
+++ b/src/test/java/io/violetrail/stories/BudgetLendingTest.java
@@ -60,6 +60,40 @@
     assertEquals(List.of(), world.broken);
   }
 
+  /**
+   * While submissions use up what seven controllers may write, jobs that have ended are told so.
+   */
+  @Test
+  void endsAreNotLeftBehindBeginnings() {
+    World seven = new World(7, 5);
+    seven.stateLimits = new StateLimits(400, 30, 8192, 24);
+    seven.state.limited = true;
+    seven.cloud.runS = 1;
+    seven.cloud.capacity = 40;
+    seven.up();
+    for (int i = 0; i < 40; i++) {
+      seven.cloud.given("plain", "a");
+    }
+    seven.run(30);
+    User user = new User(seven);
+    for (int i = 0; i < 40; i++) {
+      assertEquals(201, user.submit(World.name(i % 7), User.job("job-9" + (1000 + i), 1)));
+      seven.run(0.1);
+    }
+    for (int i = 0; i < 600; i++) {
+      byte[] job = Cbor.bytes(User.job("job-" + i, 1));
+      String controller = World.name(i % 7);
+      seven.at(0.05 * i, () -> seven.ask("user", controller, "POST", "/work", job));
+    }
+    seven.run(20);
+    int told = 0;
+    for (int i = 0; i < 40; i++) {
+      told += user.poll(World.name(i % 7), "job-9" + (1000 + i)).equals("done") ? 1 : 0;
+    }
+    assertTrue(told >= 38, told + " of 40 are told");
+    assertEquals(List.of(), seven.broken);
+  }
+
   @Test
   void withoutPeersItsOwnPartIsAllThereIs() {
     up();
