--- a/src/main/java/io/violetrail/api/Ledger.java
+++ b/src/main/java/io/violetrail/api/Ledger.java
@@ -46,11 +46,12 @@
   private static final double AGAIN_S = 0.15;
 
   /**
-   * A transaction may write so many rows even if that is more than a second's worth: six jobs that
-   * share a sheet, and a page. With a seventh of a small budget each held one job and a sheet, so
-   * that jobs cost nearly twice the changes just when these were short.
+   * A transaction may write so many rows even if that is more than a second's worth: three jobs
+   * that share a sheet, and a page. With a seventh of a small budget each held one job and a sheet,
+   * so that jobs cost more changes just when these were short. With eight rows the machines'
+   * records waited too long behind submissions where a second's worth is three.
    */
-  private static final int LEAST_WRITES = 8;
+  private static final int LEAST_WRITES = 5;
 
   /**
    * Beginnings go first, but ends that have waited for so long do: they share a page, so they are
