Budget: a smaller part begins with no more than its own

Cause: since tokens above the burst stay, a controller whose part shrinks when another one comes back kept what it had; together they could have sent more than a second's worth at once. Change: resizing cuts what is above the new burst. Result: BudgetTest; lent changes are unaffected.

--- a/src/main/java/io/violetrail/net/Budget.java
+++ b/src/main/java/io/violetrail/net/Budget.java
@@ -61,6 +61,8 @@
   public void resize(double newPerSecond, double now) {
     rate(newPerSecond, now);
     burst = Math.max(1, newPerSecond);
+    // A smaller part begins with no more than its own: what was above it is the others' now.
+    tokens = Math.min(tokens, burst);
   }
 
   /** Changes the rate from now on. */
--- a/src/test/java/io/violetrail/net/BudgetTest.java
+++ b/src/test/java/io/violetrail/net/BudgetTest.java
@@ -26,4 +26,12 @@
     assertEquals(3, b.lacking(5, 0), 1e-9);
     assertEquals(2, b.spare(2, 0.5), 1e-9);
   }
+
+  @Test
+  void aSmallerPartBeginsWithNoMoreThanItsOwn() {
+    Budget b = new Budget(9, 9, 0);
+    b.resize(4, 0);
+    assertEquals(4, b.spare(0, 0), 1e-9);
+    assertEquals(4, b.spare(0, 100), 1e-9);
+  }
 }
