--- a/src/test/java/io/violetrail/scale/ScaleRun.java
+++ b/src/test/java/io/violetrail/scale/ScaleRun.java
@@ -8,7 +8,6 @@
 import io.violetrail.fakes.FakeWorker;
 import io.violetrail.fakes.LiveWorld;
 import io.violetrail.fakes.SettingsFile;
-import io.violetrail.fakes.Traffic;
 import io.violetrail.fakes.World;
 import io.violetrail.wire.Cbor;
 import java.io.File;
@@ -106,7 +105,7 @@
       say("waiting until %d workers report", options.workers);
       await(this::adopted, ADOPTION_S, "the workers to be taken in");
       measure();
-      judge();
+      TargetVerdicts.judge(report);
       write();
       return report.passed() ? 0 : 1;
     } finally {
@@ -299,9 +298,9 @@
     return onLoop(
         () -> {
           Map<String, Map<String, long[]>> traffic = new TreeMap<>();
-          usage.keySet().forEach(c -> traffic.put(c, counts(network.traffic(c))));
+          usage.keySet().forEach(c -> traffic.put(c, Rates.counts(network.traffic(c))));
           return new Snapshot(
-              live.loop().seconds(), usage, traffic, counts(world.traffic), stats, ownCpuS());
+              live.loop().seconds(), usage, traffic, Rates.counts(world.traffic), stats, ownCpuS());
         });
   }
 
@@ -313,14 +312,6 @@
     }
   }
 
-  private static Map<String, long[]> counts(Traffic traffic) {
-    Map<String, long[]> all = new TreeMap<>();
-    traffic
-        .byKind()
-        .forEach((k, c) -> all.put(k, new long[] {c.messages, c.requestBytes, c.answerBytes}));
-    return all;
-  }
-
   private JsonNode stateStats() throws Exception {
     CompletableFuture<io.violetrail.net.Http.Reply> reply =
         onLoop(
@@ -345,11 +336,11 @@
               (used.cpuS() - before.usage().get(name).cpuS()) / seconds,
               used.residentMib(),
               used.sockets(),
-              rates(before.traffic().get(name), after.traffic().get(name), seconds)));
+              Rates.ofMessages(before.traffic().get(name), after.traffic().get(name), seconds)));
     }
-    perSecond(before.stateStats(), after.stateStats(), "requests", seconds)
+    Rates.perSecond(before.stateStats(), after.stateStats(), "requests", seconds)
         .forEach(report.stateRequestsPerS::put);
-    perSecond(before.stateStats(), after.stateStats(), "changes", seconds)
+    Rates.perSecond(before.stateStats(), after.stateStats(), "changes", seconds)
         .forEach(report.stateChangesPerS::put);
     Map<String, Double> f = report.figures;
     f.put("state_requests_a_s", sum(report.stateRequestsPerS));
@@ -360,7 +351,8 @@
             - before.stateStats().path("over_limit").asDouble());
     f.put("stand_ins_cpu_cores", (after.ownCpuS() - before.ownCpuS()) / seconds);
     f.put("stand_ins_memory_mib", (double) usedHeap() / MEBI);
-    var reports = rates(before.allTraffic(), after.allTraffic(), seconds).get("worker report");
+    var reports =
+        Rates.ofMessages(before.allTraffic(), after.allTraffic(), seconds).get("worker report");
     if (reports != null) {
       f.put("reports_a_s_a_worker", reports.messages() / options.workers);
       f.put(
@@ -427,91 +419,10 @@
     return world.cloud.everUp.stream().mapToLong(FakeWorker::sessionsLost).sum();
   }
 
-  private static Map<String, ScaleReport.MessageRates> rates(
-      Map<String, long[]> before, Map<String, long[]> after, double seconds) {
-    Map<String, ScaleReport.MessageRates> rates = new TreeMap<>();
-    after.forEach(
-        (kind, now) -> {
-          long[] then = before.getOrDefault(kind, new long[3]);
-          rates.put(
-              kind,
-              new ScaleReport.MessageRates(
-                  (now[0] - then[0]) / seconds,
-                  (now[1] - then[1]) / seconds,
-                  (now[2] - then[2]) / seconds));
-        });
-    return rates;
-  }
-
-  private static Map<String, Double> perSecond(
-      JsonNode before, JsonNode after, String field, double seconds) {
-    Map<String, Double> rates = new TreeMap<>();
-    after
-        .path(field)
-        .properties()
-        .forEach(
-            e ->
-                rates.put(
-                    e.getKey(),
-                    (e.getValue().asDouble() - before.path(field).path(e.getKey()).asDouble())
-                        / seconds));
-    return rates;
-  }
-
   private static double sum(Map<String, Double> all) {
     return all.values().stream().mapToDouble(d -> d).sum();
   }
 
-  /** Each figure of the target, scaled to what this run was asked for. */
-  private void judge() {
-    Map<String, Double> f = report.figures;
-    LoadShape shape = report.shape;
-    report.atLeast("workers served", 0.98 * shape.workers(), f.get("workers_served"));
-    report.atLeast("tasks running", 0.95 * shape.runningTasks(), f.get("running_tasks"));
-    report.atLeast("task starts a second", 0.95 * shape.startsPerS(), f.get("starts_a_s"));
-    judgeUrgent(f);
-    report.atLeast("submissions accepted within a second", 0.99, f.get("accepted_within_1s_share"));
-    report.atMost("machines for control", 7, shape.controllers());
-    double mostCores =
-        report.controllers.values().stream()
-            .mapToDouble(ScaleReport.ControllerFigures::cpuCores)
-            .max()
-            .orElse(0);
-    report.atMost("processor cores of the busiest controller", 1, mostCores);
-    report.atMost("KB a second of a worker's control", 15, f.get("kb_a_s_a_worker"));
-    report.atMost(
-        "cores of a hollow worker's control, with all stand-ins in this process",
-        0.01,
-        f.get("stand_ins_cpu_cores") / shape.workers());
-    report.atMost(
-        "MB of a hollow worker's control, with all stand-ins in this process",
-        32,
-        f.get("stand_ins_memory_mib") / shape.workers());
-    report.atMost("broken rules", 0, report.brokenRules.size());
-    judgeConfiguration(f);
-    report.notRun("regions apart for an hour", "no running task lost");
-  }
-
-  private void judgeConfiguration(Map<String, Double> f) {
-    String inForce = "changes of configuration in force everywhere, most seconds";
-    if (!f.containsKey("configuration_in_force_ms_max")) {
-      report.notRun(inForce, "at most 8");
-      return;
-    }
-    report.atMost(inForce, 8, f.get("configuration_in_force_ms_max") / 1000);
-  }
-
-  private void judgeUrgent(Map<String, Double> f) {
-    String start = "urgent work starts, p99, seconds";
-    if (f.get("urgent_jobs_started") == 0) {
-      report.notRun(start, "at most " + Deployment.URGENT_START_S);
-      return;
-    }
-    report.atMost(start, Deployment.URGENT_START_S, f.get("urgent_start_ms_p99") / 1000);
-    report.atMost(
-        "part of urgent work that has not started in time", 0.01, f.get("urgent_late_share"));
-  }
-
   private void happens(Fault fault) {
     Random random = new Random(options.seed + Math.round(fault.atS()));
     switch (fault.kind()) {
