--- a/src/test/java/io/violetrail/scale/OpenLoad.java
+++ b/src/test/java/io/violetrail/scale/OpenLoad.java
@@ -40,7 +40,6 @@
   long unanswered;
   long givenUp;
   long done;
-  long tasksSubmitted;
   long starts;
 
   private int widestGangStarted;
@@ -100,7 +99,6 @@
     if (counts) {
       submitted++;
       underWay.put(job.get("name_id").asText(), scheduledS);
-      tasksSubmitted += tasks;
       if (job.get("jobclass").asText().equals(JobMix.URGENT)) {
         urgent.put(job.get("name_id").asText(), new Urgent(scheduledS, tasks));
       }
