Stories: workers that take an answer without a token for the lowest one

The fake worker read a missing token as -1 and always dropped such an answer. The workers of the incident did not: their token was 0, and what other controllers answered them without a token kept their leases while their owner counted them as over. A fake that is kinder than the world hid it.

- AbsentToken: both readings; the harder one is the default of all stories.
- A worker goes to the node after the one that it has tried, a second later, as the protocol says.
Until now it went round all nodes by its interval, so it was never twice at the same wrong one.
- WorkerLeaseTest: two workers are cut from their owner alone.

--- /dev/null
+++ b/src/test/java/io/violetrail/fakes/AbsentToken.java
@@ -0,0 +1,26 @@
+package io.violetrail.fakes;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/**
+ * What a worker makes of an answer that carries no token. The protocol says that it drops it; the
+ * workers of the incident of 2026-12 renewed their leases by it. Controllers must be safe with
+ * both.
+ */
+public enum AbsentToken {
+  /** By the protocol: the answer is lower than any token. */
+  DROPPED(-1),
+
+  /** The answer counts as one with the lowest token there is, 0. */
+  READ_AS_LOWEST(0);
+
+  private final long readAs;
+
+  AbsentToken(long readAs) {
+    this.readAs = readAs;
+  }
+
+  long tokenOf(ObjectNode answer) {
+    return answer.path("baton").asLong(readAs);
+  }
+}
--- a/src/test/java/io/violetrail/fakes/FakeWorker.java
+++ b/src/test/java/io/violetrail/fakes/FakeWorker.java
@@ -27,6 +27,9 @@
   /** Reports are no closer together than this. */
   private static final double CLOSEST_S = 0.5;
 
+  /** Before the next controller is tried after one that did not take a report. */
+  private static final double NEXT_NODE_S = 1;
+
   private static final Exception LOST = new IOException("lost");
 
   private static final class Piece {
@@ -423,18 +426,21 @@
         node = master.isEmpty() || master.equals(target) ? null : master;
         if (node != null) {
           beat();
+        } else {
+          triesNext(target);
         }
       } else if (failure != null || r.status() != 200) {
         node = null;
+        triesNext(target);
       } else {
         node = target;
         ObjectNode m = Cbor.parse(r.body());
-        if (m.path("baton").asLong(-1) >= token
+        if (world.absentToken.tokenOf(m) >= token
             && inSession == session
             && world.now() - sent < ANSWER_S) {
-          token = m.get("baton").asLong();
+          token = world.absentToken.tokenOf(m);
           answered = sent;
-          m.get("orders").forEach(this::execute);
+          m.path("orders").forEach(this::execute);
         }
       }
     } catch (Cbor.Malformed e) {
@@ -442,6 +448,18 @@
     }
   }
 
+  /** A worker whose report was not taken goes on soon, to the node after the one it has tried. */
+  private void triesNext(String tried) {
+    at = World.index(tried) + 1;
+    world.at(
+        NEXT_NODE_S,
+        () -> {
+          if (up && !inFlight && world.now() >= hangsUntil) {
+            beat();
+          }
+        });
+  }
+
   void execute(JsonNode order) {
     String task = order.get("piece").asText();
     Piece p = pieces.get(task);
--- a/src/test/java/io/violetrail/fakes/World.java
+++ b/src/test/java/io/violetrail/fakes/World.java
@@ -22,6 +22,7 @@
 import io.violetrail.wire.Cbor;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -36,6 +37,7 @@
 import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleBiFunction;
+import java.util.stream.Collectors;
 
 /**
  * A whole deployment in memory: virtual time, a network that can lose and hold back, the state
@@ -99,6 +101,9 @@
   /** What the users state for their classes. */
   public List<Objective> objectives = List.of(new Objective("wait", "urgent", 8, 0.9, 1));
 
+  /** What workers make of an answer without a token; by default what is harder on controllers. */
+  public AbsentToken absentToken = AbsentToken.READ_AS_LOWEST;
+
   /** How long a message takes between two hosts, one way. */
   public ToDoubleBiFunction<String, String> delayS = (from, to) -> DELAY_S;
 
@@ -151,6 +156,11 @@
     return "c" + i;
   }
 
+  /** Which controller has the name; the inverse of {@link #name}. */
+  static int index(String name) {
+    return Integer.parseInt(name.substring(1));
+  }
+
   /** How many controllers the deployment has. */
   public int controllers() {
     return count;
@@ -315,6 +325,17 @@
         };
   }
 
+  /** Messages between one of these workers and the controller are lost, both ways. */
+  public void cutLinks(Collection<FakeWorker> workers, String controller) {
+    Set<String> ids = workers.stream().map(w -> w.id).collect(Collectors.toSet());
+    lose =
+        m -> {
+          String[] part = m.split(" ");
+          return part[0].equals(controller) && ids.contains(part[1])
+              || part[1].equals(controller) && ids.contains(part[0]);
+        };
+  }
+
   /** Connections for messages whose "from to method path" matches are refused. */
   public void refuse(Predicate<String> which) {
     refuse = which;
--- /dev/null
+++ b/src/test/java/io/violetrail/stories/WorkerLeaseTest.java
@@ -0,0 +1,75 @@
+package io.violetrail.stories;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+import io.violetrail.config.Settings.Workers;
+import io.violetrail.fakes.AbsentToken;
+import io.violetrail.fakes.FakeWorker;
+import io.violetrail.fakes.User;
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * What an owner concludes from a worker's silence holds whatever other controllers answer that
+ * worker meanwhile, and whatever the worker makes of an answer without a token.
+ */
+class WorkerLeaseTest extends Story {
+  private static final int TASKS = 32;
+  private static final String LONG_JOB = "job-1";
+  private static final String SHORT_JOB = "job-2";
+  private static final double LONG_S = 300;
+  private static final double SHORT_S = 5;
+
+  /** The workers' settings of the deployment that had the incident. */
+  private static final Workers INCIDENT = new Workers(2.5, 16, 50, 6, 36);
+
+  WorkerLeaseTest() {
+    super(1);
+  }
+
+  /**
+   * Long tasks of an entity that has never moved run on its machines, of which half are idle again:
+   * a task that is given up somewhere starts there at once.
+   */
+  private List<FakeWorker> busyWorkersOfC0(AbsentToken reading, long seed) {
+    world(seed);
+    world.absentToken = reading;
+    world.workers = INCIDENT;
+    world.cloud.runS = LONG_S;
+    world.onWorker =
+        worker -> {
+          for (int i = 0; i < TASKS; i++) {
+            worker.runs.put(SHORT_JOB + "/" + i, SHORT_S);
+          }
+        };
+    world.up();
+    user.submit("c0", User.job(LONG_JOB, TASKS).put("guess_s", LONG_S));
+    user.submit("c0", User.job(SHORT_JOB, TASKS).put("guess_s", SHORT_S));
+    world.until(60, () -> user.poll("c0", SHORT_JOB).equals("done"));
+    runs(LONG_JOB + "/" + (TASKS - 1));
+    return world.cloud.workers.values().stream().filter(w -> w.active() > 0).toList();
+  }
+
+  private void tasksStartElsewhereOnceTheyAreGone(AbsentToken reading, long seed) {
+    List<FakeWorker> cutOff = busyWorkersOfC0(reading, seed).subList(0, 2);
+    world.cutLinks(cutOff, "c0");
+    world.run(4 * world.workers.leaseS());
+    for (int i = 0; i < TASKS; i++) {
+      assertFalse(cutOff.contains(runs(LONG_JOB + "/" + i)));
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {3, 4, 5})
+  void workersCutFromTheirOwnerAloneThatDropAnswersWithoutToken(long seed) {
+    tasksStartElsewhereOnceTheyAreGone(AbsentToken.DROPPED, seed);
+  }
+
+  /** The incident of 2026-12: the third controller's answers kept the leases of such workers. */
+  @ParameterizedTest
+  @ValueSource(longs = {3, 4, 5})
+  void workersCutFromTheirOwnerAloneThatTakeNoTokenForTheLowest(long seed) {
+    tasksStartElsewhereOnceTheyAreGone(AbsentToken.READ_AS_LOWEST, seed);
+  }
+}
