Tokens: no version that is given out can be taken for "no token"

Cause: the first version of the first entity was 0, which is also the token of a worker that has seen none, and what some workers read where an answer carries no token. Controllers that were not the owner answered such a worker without a token, so that it stays while its lease runs on; the worker renewed its lease instead, and its owner started its tasks elsewhere.

An entity is held, and commands are written, under a token only: the constructors refuse anything else. - An answer that renews nothing carries the lowest token instead of none. A worker that has seen no token and holds tasks (after an upgrade) has nothing lower to be told: it is refused with 503 and tries the next controller a second later. - A report's session starts at 1; 0 is refused, since it stands for "not heard of yet".

--- a/src/main/java/io/violetrail/fleet/Hires.java
+++ b/src/main/java/io/violetrail/fleet/Hires.java
@@ -179,7 +179,7 @@
                 o.zone(),
                 o.spot(),
                 false,
-                new Version(0),
+                Version.NONE,
                 node.loop.wallMillis()));
       }
     }
--- a/src/main/java/io/violetrail/ownership/Holding.java
+++ b/src/main/java/io/violetrail/ownership/Holding.java
@@ -45,6 +45,7 @@
   private long hires;
 
   public Holding(EntityRow row, boolean calm, double now) {
+    row.version().requireToken();
     this.row = row;
     this.calm = calm;
     this.gainedS = now;
--- a/src/main/java/io/violetrail/ownership/Membership.java
+++ b/src/main/java/io/violetrail/ownership/Membership.java
@@ -159,7 +159,7 @@
     EntityRow next = null;
     if (retake) {
       Version version =
-          mine == null ? new Version(self()) : aboveTerms(me, mine.version()).nextFor(self());
+          mine == null ? Version.first(self()) : aboveTerms(me, mine.version()).nextFor(self());
       // The former process of this controller is gone; whoever was seized from before may not be.
       next = new EntityRow(me, version, mine == null || mine.calm(), past(mine, false), 0);
       txn.when(Rows.entity(me), mine == null ? 0 : mine.stamp())
@@ -326,10 +326,10 @@
         continue;
       }
       if (settings.self().equals(owner)) {
-        if (row.calm()) {
+        if (row.calm() && row.version().isToken()) {
           hold(row, true);
         } else {
-          move(row, settings.self(), false, settings.self());
+          move(row, settings.self(), row.calm(), settings.self());
         }
       } else if (owner != null && directory.isAlive(owner)) {
         absentSince.remove(owner);
@@ -362,7 +362,12 @@
     return now - since >= rank * RANK_DELAY_S && now - startedS >= START_PATIENCE_S;
   }
 
-  /** Moves an entity here by one conditional transaction. */
+  /**
+   * Moves an entity here by one conditional transaction.
+   *
+   * @param calm whether its former owner has handed it over: the row is rewritten all the same if a
+   *     program of before handed it over under a version that is no token
+   */
   private void move(EntityRow row, ControllerId to, boolean calm, ControllerId lapsed) {
     moving.add(row.entity());
     EntityRow next =
@@ -370,7 +375,7 @@
             row.entity(),
             aboveTerms(row.entity(), row.version()).nextFor(settings.indexOf(to)),
             calm,
-            past(row, true),
+            past(row, !calm),
             0);
     Txn txn =
         new Txn()
--- a/src/main/java/io/violetrail/wire/BeatWire.java
+++ b/src/main/java/io/violetrail/wire/BeatWire.java
@@ -28,6 +28,11 @@
       Version token,
       Double noticeS,
       List<Piece> pieces) {
+    /** Whether any task of the report may still be on the machine. */
+    public boolean holdsTasks() {
+      return pieces.stream().anyMatch(p -> p.state() != State.EXITED);
+    }
+
     public boolean newerThan(long otherSession, long otherSeq) {
       return session > otherSession || session == otherSession && seq > otherSeq;
     }
@@ -129,13 +134,22 @@
         Cbor.text(m, "hosttype"),
         Cbor.text(m, "yard"),
         Cbor.flag(m, "loaners"),
-        count(m, "tenure"),
+        session(m),
         count(m, "tick"),
-        new Version(Cbor.present(m, "baton") == null ? 0 : count(m, "baton")),
+        Cbor.present(m, "baton") == null ? Version.NONE : new Version(count(m, "baton")),
         notice,
         pieces);
   }
 
+  /** Sessions start at 1: 0 stands for "not heard of yet" wherever a session is kept. */
+  private static long session(JsonNode m) throws Malformed {
+    long session = count(m, "tenure");
+    if (session == 0) {
+      throw new Malformed("tenure starts at 1");
+    }
+    return session;
+  }
+
   private static long count(JsonNode m, String field) throws Malformed {
     long value = Cbor.count(m, field);
     if (value > MOST) {
@@ -158,8 +172,9 @@
     return new Piece(task, count(p, "try"), state, why, kept != null && kept.asBoolean());
   }
 
+  /** Commands under a token; in an answer to a report this renews the worker's lease. */
   public static ObjectNode reply(Version token, List<Order> orders) {
-    ObjectNode m = Cbor.map().put("baton", token.value());
+    ObjectNode m = Cbor.map().put("baton", token.requireToken().value());
     var list = m.putArray("orders");
     for (Order o : orders) {
       var node = list.addObject();
@@ -178,9 +193,16 @@
     return m;
   }
 
-  /** An answer that its worker drops for want of a token: it stays, and its lease runs on. */
+  /**
+   * An answer that renews nothing: its token is lower than any that a worker has been given. Left
+   * out, the token was read as 0 by some workers, and 0 had been given out.
+   *
+   * <p>A worker that has seen no token at all takes it, so it is not for one that has tasks.
+   */
   public static ObjectNode stay() {
-    return Cbor.map();
+    ObjectNode m = Cbor.map().put("baton", Version.NONE.value());
+    m.putArray("orders");
+    return m;
   }
 
   /** Tells a worker to report elsewhere; {@code owner} may be null. */
--- a/src/main/java/io/violetrail/worker/Beats.java
+++ b/src/main/java/io/violetrail/worker/Beats.java
@@ -92,7 +92,7 @@
       return;
     }
     if (!newest.take(beat)) {
-      done.accept(Answer.of(200, BeatWire.stay()));
+      done.accept(stay(beat));
       return;
     }
     node.hearing.heard(beat);
@@ -114,7 +114,7 @@
     }
     Holding holding = node.membership.holding(row.entity());
     if (holding == null || holding.phase == Holding.Phase.RELEASING) {
-      done.accept(elsewhere(row, holding));
+      done.accept(elsewhere(row, holding, beat));
       return;
     }
     if (!node.membership.mayKeepAlive()) {
@@ -148,12 +148,9 @@
    */
   private Answer renew(Holding h, Version token, Beat beat, List<Order> orders) {
     if (!h.active()) {
-      boolean holds = beat.pieces().stream().anyMatch(p -> p.state() != State.EXITED);
-      return Answer.of(
-          200,
-          holds && !node.membership.mayRenewUnknowing(h)
-              ? BeatWire.stay()
-              : BeatWire.reply(token, List.of()));
+      return beat.holdsTasks() && !node.membership.mayRenewUnknowing(h)
+          ? stay(beat)
+          : Answer.of(200, BeatWire.reply(token, List.of()));
     }
     Set<Order> all = new LinkedHashSet<>();
     for (Piece p : beat.pieces()) {
@@ -166,6 +163,17 @@
         200, BeatWire.reply(token, List.copyOf(all).subList(0, Math.min(MAX_ORDERS, all.size()))));
   }
 
+  /**
+   * Lets a worker stay here while its lease runs on. The answer carries a token lower than the
+   * worker's. There is none for a worker that has seen no token: with tasks, which only programs
+   * that gave out version 0 can have started there, it is refused and tries the next controller.
+   */
+  private static Answer stay(Beat beat) {
+    return beat.token().equals(Version.NONE) && beat.holdsTasks()
+        ? Answer.later("no owner is known")
+        : Answer.of(200, BeatWire.stay());
+  }
+
   /**
    * Whether the worker has nothing to run and nothing to learn but what it may forget, or room was
    * made there for a job that waits for other machines: then the answer waits for what is to start.
@@ -199,7 +207,7 @@
     Holding holding = row == null ? null : node.membership.holding(row.entity());
     Machine m = r.machine();
     if (row != null && (holding == null || holding.phase == Holding.Phase.RELEASING)) {
-      r.done().accept(elsewhere(row, holding));
+      r.done().accept(elsewhere(row, holding, r.beat()));
     } else if (holding == null
         || holding.machines.get(id) != m
         || !node.membership.mayKeepAlive()) {
@@ -218,7 +226,7 @@
   }
 
   /** Sends a worker to its machine's owner, or lets it stay until there is one. */
-  private Answer elsewhere(MachineRow row, Holding holding) {
+  private Answer elsewhere(MachineRow row, Holding holding, Beat beat) {
     ControllerId owner = node.directory.ownerOf(row.entity());
     boolean elsewhere =
         owner != null && !owner.equals(node.settings.self()) && node.directory.isAlive(owner);
@@ -228,7 +236,7 @@
     boolean orphan =
         holding == null && node.membership.valid() && (!elsewhere || backSoon(row.id()));
     return orphan
-        ? Answer.of(200, BeatWire.stay())
+        ? stay(beat)
         : Answer.of(421, BeatWire.elsewhere(elsewhere ? owner.value() : null));
   }
 
@@ -261,7 +269,7 @@
       return;
     }
     if (justBooted(beat)) {
-      done.accept(Answer.of(200, BeatWire.stay()));
+      done.accept(stay(beat));
       return;
     }
     // Strictly above what its worker has seen: a report held back for minutes then shows its age.
@@ -324,7 +332,7 @@
       return Answer.of(421, BeatWire.elsewhere(null));
     }
     if (!beat.newerThan(m.session, m.seq)) {
-      return Answer.of(200, BeatWire.stay());
+      return stay(beat);
     }
     double now = node.loop.seconds();
     m.heardS = now;
