Upgrade: an owner concludes nothing from silence while others may answer without a token

A rolling restart leaves controllers of the earlier program beside new ones, rows with version 0 and workers whose highest token is 0. An entity's row is lifted when its home starts, but a worker that its new owner can't reach goes on being told to stay by the others, and that keeps its lease.

- The key of a controller's lease says that its program gives no answer without a token.
While any controller's does not, an owner takes no time for proof that an unheard machine is empty.
That ends with the upgrade, or with the machine's return to the cloud.
A worker that has reported under the new version has seen a token and is not concerned.
- Story: one new controller beside two of the earlier program, two workers reach only these, the cloud takes nothing back; then the others follow.

--- a/src/main/java/io/violetrail/ownership/Directory.java
+++ b/src/main/java/io/violetrail/ownership/Directory.java
@@ -7,6 +7,7 @@
 import io.violetrail.model.ControllerId;
 import io.violetrail.model.MachineId;
 import io.violetrail.model.Version;
+import io.violetrail.ownership.Rows.AliveRow;
 import io.violetrail.ownership.Rows.EntityRow;
 import io.violetrail.ownership.Rows.MachineRow;
 import io.violetrail.wire.StateWire.Change;
@@ -25,7 +26,7 @@
  */
 public final class Directory {
   private final Settings settings;
-  private final Map<ControllerId, Long> alive = new HashMap<>();
+  private final Map<ControllerId, AliveRow> alive = new HashMap<>();
   private final Map<ControllerId, EntityRow> entities = new HashMap<>();
   private final Map<ControllerId, Version> told = new HashMap<>();
   private final Map<MachineId, MachineRow> machines = new HashMap<>();
@@ -92,7 +93,10 @@
       dropped.put(key, c.stamp());
     }
     if (key.startsWith(Rows.ALIVE)) {
-      put(alive, new ControllerId(key.substring(Rows.ALIVE.length())), set ? c.stamp() : null);
+      put(
+          alive,
+          new ControllerId(key.substring(Rows.ALIVE.length())),
+          set ? Rows.alive(c.value(), c.stamp()) : null);
     } else if (key.startsWith(Rows.ENTITY)) {
       put(
           entities,
@@ -164,7 +168,7 @@
 
   private long stamp(String key) {
     if (key.startsWith(Rows.ALIVE)) {
-      return alive.getOrDefault(new ControllerId(key.substring(Rows.ALIVE.length())), 0L);
+      return aliveStamp(new ControllerId(key.substring(Rows.ALIVE.length())));
     } else if (key.startsWith(Rows.ENTITY)) {
       EntityRow row = entities.get(new ControllerId(key.substring(Rows.ENTITY.length())));
       return row == null ? 0 : row.stamp();
@@ -201,7 +205,17 @@
   }
 
   public long aliveStamp(ControllerId c) {
-    return alive.getOrDefault(c, 0L);
+    AliveRow row = alive.get(c);
+    return row == null ? 0 : row.stamp();
+  }
+
+  /**
+   * Whether some controller's program may answer workers without a token, as during an upgrade from
+   * one of before. The lease of a worker that has seen no token above "none" may be kept by that,
+   * whoever owns its machine.
+   */
+  public boolean anyAnswersWithoutToken() {
+    return alive.values().stream().anyMatch(row -> !row.tokenInEveryAnswer());
   }
 
   public EntityRow entity(ControllerId e) {
--- a/src/main/java/io/violetrail/ownership/Membership.java
+++ b/src/main/java/io/violetrail/ownership/Membership.java
@@ -8,7 +8,6 @@
 import io.violetrail.ownership.Rows.EntityRow;
 import io.violetrail.ownership.Rows.Past;
 import io.violetrail.state.StateStore;
-import io.violetrail.wire.Cbor;
 import io.violetrail.wire.StateWire;
 import io.violetrail.wire.StateWire.Change;
 import io.violetrail.wire.StateWire.Txn;
@@ -155,7 +154,7 @@
     Txn txn =
         new Txn()
             .when(Rows.alive(me), directory.aliveStamp(me))
-            .setHeld(Rows.alive(me), Cbor.map().put("zone", settings.zone()), id);
+            .setHeld(Rows.alive(me), Rows.aliveValue(settings.zone()), id);
     EntityRow next = null;
     if (retake) {
       Version version =
@@ -182,7 +181,8 @@
               }
               lease = id;
               validUntil = sentAt + timing.ttlS() - timing.marginS();
-              directory.apply(new Change(Rows.alive(me), Cbor.map(), outcome.revision()));
+              directory.apply(
+                  new Change(Rows.alive(me), Rows.aliveValue(settings.zone()), outcome.revision()));
               LOG.info("lease {} begins, revision {}", id, outcome.revision());
               if (retaken != null) {
                 hold(retaken.stamped(outcome.revision()), retaken.calm());
--- a/src/main/java/io/violetrail/ownership/Rows.java
+++ b/src/main/java/io/violetrail/ownership/Rows.java
@@ -30,6 +30,14 @@
 
   private Rows() {}
 
+  /**
+   * A controller whose lease stands.
+   *
+   * @param tokenInEveryAnswer whether its program gives workers no answer without a token; programs
+   *     of before did, and some workers' leases were renewed by that
+   */
+  public record AliveRow(boolean tokenInEveryAnswer, long stamp) {}
+
   /**
    * Owner (by the version's remainder) and version of an entity. {@code calm}: handed over, not
    * seized.
@@ -149,6 +157,15 @@
     return "hire/" + e + "/";
   }
 
+  /** What this program says of itself while its lease stands. */
+  public static ObjectNode aliveValue(String zone) {
+    return Cbor.map().put("zone", zone).put("token_in_every_answer", true);
+  }
+
+  public static AliveRow alive(JsonNode v, long stamp) {
+    return new AliveRow(v.path("token_in_every_answer").asBoolean(), stamp);
+  }
+
   public static ObjectNode value(EntityRow row, String owner) {
     return Cbor.map()
         .put("owner", owner)
--- a/src/main/java/io/violetrail/scheduling/Dispatcher.java
+++ b/src/main/java/io/violetrail/scheduling/Dispatcher.java
@@ -120,6 +120,12 @@
         }
       }
     }
+    if (!m.heard && node.directory.anyAnswersWithoutToken()) {
+      // Its worker may have seen no token yet, and then that controller's answers keep its lease.
+      // This ends with the upgrade, or with the machine's return to the cloud.
+      double keptUntilS = now + TICK_S + node.timing.goneAfterAnswerS();
+      m.unheardGoneS = Math.max(m.unheardGoneS, keptUntilS);
+    }
     boolean gone =
         m.heard ? now - m.answeredS > node.timing.goneAfterAnswerS() : now > m.unheardGoneS;
     if (m.silent && gone && m.firstSession <= m.session) {
--- a/src/test/java/io/violetrail/fakes/FakeState.java
+++ b/src/test/java/io/violetrail/fakes/FakeState.java
@@ -92,6 +92,13 @@
     keys.put(key, new Entry(value, ++revision, 0));
   }
 
+  /** A row is gone without anybody's having dropped it. */
+  void remove(String key) {
+    revision++;
+    drop(key);
+    tell();
+  }
+
   public Set<String> keys(String prefix) {
     return new HashSet<>(keys.subMap(prefix, prefix + "\uffff").keySet());
   }
--- a/src/test/java/io/violetrail/fakes/FakeWorker.java
+++ b/src/test/java/io/violetrail/fakes/FakeWorker.java
@@ -308,6 +308,11 @@
         });
   }
 
+  /** It has seen no higher token than this one. */
+  void highestToken(long highest) {
+    token = highest;
+  }
+
   /** For tests of the checker: somebody has renewed its lease. */
   void answered(double at) {
     answered = at;
--- a/src/test/java/io/violetrail/fakes/World.java
+++ b/src/test/java/io/violetrail/fakes/World.java
@@ -84,6 +84,7 @@
   private final Map<HostPort, Service> places = new HashMap<>();
   private final Map<String, Integer> lives = new HashMap<>();
   private final PriorityQueue<Event> events = new PriorityQueue<>();
+  private final Set<String> standIns = new HashSet<>();
   private final Set<String> cut = new HashSet<>();
   private final Map<String, Double> frozenUntil = new HashMap<>();
 
@@ -241,6 +242,16 @@
     kubernetesApis.remove(name);
   }
 
+  /** Something else answers workers and users in the place of a controller that is not running. */
+  void standIn(String name, Service api) {
+    standIns.add(name);
+    places.put(api(name), api);
+  }
+
+  void endStandIn(String name) {
+    standIns.remove(name);
+  }
+
   /** A schedule that is there already, as its row would hold it. */
   public void schedule(String name, ObjectNode definition, String entity) {
     ObjectNode row = Cbor.map().put("uid", name).put("entity", entity).put("version", 1);
@@ -403,7 +414,9 @@
         delayS.applyAsDouble(from, to.host()),
         () -> {
           if (refuse.test(message)
-              || lives.containsKey(to.host()) && !nodes.containsKey(to.host())) {
+              || lives.containsKey(to.host())
+                  && !nodes.containsKey(to.host())
+                  && !standIns.contains(to.host())) {
             // The host is up but the process is not: its connections are refused.
             future.completeExceptionally(new IOException("refused"));
           } else if (hold.test(message)) {
--- a/src/test/java/io/violetrail/stories/WorkerLeaseTest.java
+++ b/src/test/java/io/violetrail/stories/WorkerLeaseTest.java
@@ -1,11 +1,14 @@
 package io.violetrail.stories;
 
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.violetrail.config.Settings.Workers;
 import io.violetrail.fakes.AbsentToken;
+import io.violetrail.fakes.EarlierProgram;
 import io.violetrail.fakes.FakeWorker;
 import io.violetrail.fakes.User;
+import io.violetrail.model.Version;
 import java.util.List;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -72,4 +75,36 @@
   void workersCutFromTheirOwnerAloneThatTakeNoTokenForTheLowest(long seed) {
     tasksStartElsewhereOnceTheyAreGone(AbsentToken.READ_AS_LOWEST, seed);
   }
+
+  /**
+   * A rolling restart from the program that gave out version 0. Two workers reach only a controller
+   * that still runs it, whose answers keep their leases; the cloud takes nothing back, so there is
+   * no other evidence than time.
+   */
+  @ParameterizedTest
+  @ValueSource(longs = {3, 4, 5})
+  void noTaskRunsTwiceWhileOldAndNewControllersStandSideBySide(long seed) {
+    List<FakeWorker> cutOff = busyWorkersOfC0(AbsentToken.READ_AS_LOWEST, seed).subList(0, 2);
+    List.of("c0", "c1", "c2").forEach(world::kill);
+    EarlierProgram earlier = new EarlierProgram(world);
+    earlier.rewind();
+    earlier.start("c1", "c0", cutOff);
+    earlier.start("c2", "c0", cutOff);
+    world.cloud.down = true;
+    world.cutLinks(cutOff, "c0");
+    world.run(1);
+    world.start("c0");
+    world.run(3 * world.workers.leaseS());
+    assertTrue(world.state.value("c/entity/c0").get("version").asLong() >= Version.INCREMENT);
+    assertTrue(cutOff.stream().allMatch(w -> w.sessionsLost() == 0 && w.active() > 0));
+    for (String next : List.of("c1", "c2")) {
+      earlier.stop(next);
+      world.start(next);
+      world.run(world.workers.leaseS());
+    }
+    world.run(2 * world.workers.leaseS());
+    for (int i = 0; i < TASKS; i++) {
+      assertFalse(cutOff.contains(runs(LONG_JOB + "/" + i)));
+    }
+  }
 }
