--- a/src/main/java/io/violetrail/api/Intake.java
+++ b/src/main/java/io/violetrail/api/Intake.java
@@ -5,7 +5,7 @@
 import io.violetrail.model.MachineType;
 import io.violetrail.model.Shape;
 import io.violetrail.node.Node;
-import io.violetrail.ownership.Holding;
+import io.violetrail.ownership.OwnedEntity;
 import java.util.HashSet;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -56,7 +56,7 @@
     if (closed != null) {
       return later(closed);
     }
-    Holding own = node.membership.own();
+    OwnedEntity own = node.membership.own();
     String never = neverRuns(spec);
     if (never != null) {
       return refuse(spec, never);
@@ -86,7 +86,7 @@
    * first: while the machine types are not known nothing seems ever to run, which is not an answer.
    */
   public String closed() {
-    Holding own = node.membership.own();
+    OwnedEntity own = node.membership.own();
     if (own == null || !own.active() || !node.membership.valid()) {
       return "this controller cannot take jobs now";
     }
--- a/src/main/java/io/violetrail/api/Jobs.java
+++ b/src/main/java/io/violetrail/api/Jobs.java
@@ -12,7 +12,7 @@
 import io.violetrail.model.JobView.Status;
 import io.violetrail.net.Rounds;
 import io.violetrail.node.Node;
-import io.violetrail.ownership.Holding;
+import io.violetrail.ownership.OwnedEntity;
 import io.violetrail.ownership.Rows;
 import io.violetrail.scheduling.Job;
 import io.violetrail.scheduling.Placement;
@@ -37,8 +37,8 @@
   private static final double END_AGAIN_S = 2;
 
   private final Node node;
-  private final Map<Holding, Progress> progress = new HashMap<>();
-  private final Map<Holding, Ledger> ledgers = new HashMap<>();
+  private final Map<OwnedEntity, Progress> progress = new HashMap<>();
+  private final Map<OwnedEntity, Ledger> ledgers = new HashMap<>();
   private final Cache<JobId, Known> terminal =
       CacheBuilder.newBuilder().maximumSize(REMEMBERED).build();
 
@@ -93,7 +93,7 @@
    * Whether no task of the job may run on a machine of an active holding: its end is stored, or
    * asked for by its user, or it is none of the entity's open jobs, of which the owner knows all.
    */
-  public boolean over(Holding h, JobId id) {
+  public boolean over(OwnedEntity h, JobId id) {
     Job job = h.jobs.get(id);
     return job == null
         ? ledger(h).stored(id) == null
@@ -104,7 +104,7 @@
    * For a worker's task whose job is not open here: what is known; null while it is being looked
    * up.
    */
-  public Known known(Holding holding, JobId id) {
+  public Known known(OwnedEntity holding, JobId id) {
     Known known = terminal.getIfPresent(id);
     if (known != null) {
       return known;
@@ -198,7 +198,7 @@
   public record Stored(boolean fresh, boolean companionTaken, long revision) {}
 
   /** Stores a new job, with a row of its own if one is given. */
-  public CompletableFuture<Stored> store(Holding h, JobSpec spec, Companion with) {
+  public CompletableFuture<Stored> store(OwnedEntity h, JobSpec spec, Companion with) {
     long nowMs = node.loop.wallMillis();
     double nowS = node.loop.seconds();
     CompletableFuture<Stored> result = new CompletableFuture<>();
@@ -215,7 +215,7 @@
                 // Also while the entity is being handed over: if that comes to nothing it stays
                 // here,
                 // and a job that was not taken up would never run.
-                if (h.phase != Holding.Phase.LOST) {
+                if (h.phase != OwnedEntity.Phase.LOST) {
                   h.jobs.putIfAbsent(spec.id(), job(spec, nowMs, nowS, false));
                   node.fleet.spares.arrived(spec, nowS);
                   node.dispatcher.changed(h);
@@ -235,12 +235,12 @@
   }
 
   /** Submissions that wait to be stored. */
-  public int waiting(Holding h) {
+  public int waiting(OwnedEntity h) {
     return ledger(h).waiting();
   }
 
   /** A job of the entity that was stored without being taken up here. */
-  private void reload(Holding h, JobId id) {
+  private void reload(OwnedEntity h, JobId id) {
     Ledger.Stored stored = h.active() && !h.jobs.containsKey(id) ? ledger(h).stored(id) : null;
     if (stored != null) {
       take(h, stored);
@@ -249,33 +249,33 @@
   }
 
   /** Reads which of the jobs on an entity's sheets are open. */
-  public CompletableFuture<List<Ledger.Stored>> open(Holding h, List<Entry> sheets) {
+  public CompletableFuture<List<Ledger.Stored>> open(OwnedEntity h, List<Entry> sheets) {
     Ledger ledger = new Ledger(node, h);
     ledgers.put(h, ledger);
     return ledger.load(sheets);
   }
 
   /** Takes up the open jobs of an entity, and what is done of them. */
-  public void load(Holding h, List<Ledger.Stored> open, List<Entry> progress) {
+  public void load(OwnedEntity h, List<Ledger.Stored> open, List<Entry> progress) {
     open.forEach(stored -> take(h, stored));
     progress(h).load(progress);
     List.copyOf(h.jobs.values()).forEach(job -> progressed(h, job));
   }
 
-  private void take(Holding h, Ledger.Stored stored) {
+  private void take(OwnedEntity h, Ledger.Stored stored) {
     double age = Math.max(0, node.loop.wallMillis() - stored.arrivedMs()) / 1000.0;
     JobSpec spec = stored.spec();
     h.jobs.put(spec.id(), job(spec, stored.arrivedMs(), node.loop.seconds() - age, true));
     bound.put(spec.id(), h.entity());
   }
 
-  private Ledger ledger(Holding h) {
-    ledgers.keySet().removeIf(other -> other.phase == Holding.Phase.LOST && other != h);
+  private Ledger ledger(OwnedEntity h) {
+    ledgers.keySet().removeIf(other -> other.phase == OwnedEntity.Phase.LOST && other != h);
     return ledgers.computeIfAbsent(h, x -> new Ledger(node, x));
   }
 
   /** Tasks of the job may be done: store that, in time, and close the job after the last one. */
-  public void progressed(Holding h, Job job) {
+  public void progressed(OwnedEntity h, Job job) {
     if (job.phase != Job.Phase.OPEN) {
       return;
     }
@@ -287,18 +287,18 @@
     }
   }
 
-  private Progress progress(Holding h) {
+  private Progress progress(OwnedEntity h) {
     progress.keySet().retainAll(node.membership.holdings());
     return progress.computeIfAbsent(h, x -> new Progress(node, x));
   }
 
   /** Stores the progress that is due. */
-  public void flush(Holding h) {
+  public void flush(OwnedEntity h) {
     progress(h).flush(node.loop.seconds());
   }
 
   /** Stores the end of a job. Only afterwards is anybody told of it. */
-  private CompletableFuture<Boolean> end(Holding h, Job job, Status status) {
+  private CompletableFuture<Boolean> end(OwnedEntity h, Job job, Status status) {
     if (job.phase == Job.Phase.OVER) {
       return CompletableFuture.completedFuture(true);
     }
@@ -308,7 +308,7 @@
             (stored, failure) -> {
               if (failure != null) {
                 node.membership.suspect();
-                if (h.phase != Holding.Phase.LOST) {
+                if (h.phase != OwnedEntity.Phase.LOST) {
                   // Refused for a reason that may pass: nobody else would ever store this end.
                   node.loop.after(END_AGAIN_S, () -> job.write(() -> end(h, job, status)));
                 }
@@ -319,7 +319,7 @@
             });
   }
 
-  private void ended(Holding h, Job job, Status status) {
+  private void ended(OwnedEntity h, Job job, Status status) {
     job.phase = Job.Phase.OVER;
     job.end = status;
     job.stored.or(job.done());
@@ -335,13 +335,13 @@
     }
   }
 
-  private void stop(Holding h, Job job) {
+  private void stop(OwnedEntity h, Job job) {
     for (Placement p : job.placements()) {
       if (p.revocable()) {
         h.unplace(p, node.loop.seconds());
       } else {
         p.halt(0);
-        node.halts.cancelled(p);
+        node.taskStopper.cancelled(p);
       }
     }
   }
@@ -349,7 +349,7 @@
   /**
    * Cancels an open job of a held entity; completes with what the user is to be told, once stored.
    */
-  public CompletableFuture<JobView> cancel(Holding h, Job job) {
+  public CompletableFuture<JobView> cancel(OwnedEntity h, Job job) {
     CompletableFuture<JobView> told = new CompletableFuture<>();
     if (job.phase == Job.Phase.OPEN) {
       // Its user does not want it any more: nothing of it is started or kept running from now on.
--- a/src/main/java/io/violetrail/api/Ledger.java
+++ b/src/main/java/io/violetrail/api/Ledger.java
@@ -12,7 +12,7 @@
 import io.violetrail.model.JobView.Status;
 import io.violetrail.net.Soon;
 import io.violetrail.node.Node;
-import io.violetrail.ownership.Holding;
+import io.violetrail.ownership.OwnedEntity;
 import io.violetrail.ownership.Rows;
 import io.violetrail.state.StateStore.Unavailable;
 import io.violetrail.wire.Cbor;
@@ -67,7 +67,7 @@
   private static final int MAX_COMPANION_BYTES = 20 * 1024;
 
   private final Node node;
-  private final Holding h;
+  private final OwnedEntity h;
   private final Sheets sheets;
   private final ArrayDeque<Edit> edits = new ArrayDeque<>();
   private final Map<JobId, Edit> entering = new HashMap<>();
@@ -99,7 +99,7 @@
     }
   }
 
-  Ledger(Node node, Holding h) {
+  Ledger(Node node, OwnedEntity h) {
     this.node = node;
     this.h = h;
     this.next = new Soon(node.loop, this::write);
@@ -284,7 +284,7 @@
   }
 
   private Draft draft() {
-    if (h.phase == Holding.Phase.LOST) {
+    if (h.phase == OwnedEntity.Phase.LOST) {
       fail();
       return null;
     }
--- a/src/main/java/io/violetrail/api/Metrics.java
+++ b/src/main/java/io/violetrail/api/Metrics.java
@@ -7,7 +7,7 @@
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.violetrail.net.Service.Answer;
 import io.violetrail.node.Node;
-import io.violetrail.ownership.Holding;
+import io.violetrail.ownership.OwnedEntity;
 import io.violetrail.scheduling.Job;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -52,7 +52,7 @@
     Gauge.builder(name, node, value).register(registry);
   }
 
-  private static double sum(Node n, ToDoubleFunction<Holding> value) {
+  private static double sum(Node n, ToDoubleFunction<OwnedEntity> value) {
     return n.membership.holdings().stream().mapToDouble(value).sum();
   }
 
--- a/src/main/java/io/violetrail/api/Progress.java
+++ b/src/main/java/io/violetrail/api/Progress.java
@@ -3,7 +3,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.violetrail.model.JobId;
 import io.violetrail.node.Node;
-import io.violetrail.ownership.Holding;
+import io.violetrail.ownership.OwnedEntity;
 import io.violetrail.ownership.Rows;
 import io.violetrail.scheduling.Job;
 import io.violetrail.wire.Cbor;
@@ -30,7 +30,7 @@
   private static final int NAME_CHARS = 40;
 
   private final Node node;
-  private final Holding h;
+  private final OwnedEntity h;
   private final int chunk;
   private final int maxChars;
   private final List<Slot> slots = new ArrayList<>();
@@ -62,7 +62,7 @@
     }
   }
 
-  Progress(Node node, Holding h) {
+  Progress(Node node, OwnedEntity h) {
     this.node = node;
     this.h = h;
     this.maxChars = (int) (node.settings.stateLimits().valueBytes() * FILLED);
--- a/src/main/java/io/violetrail/api/Sheets.java
+++ b/src/main/java/io/violetrail/api/Sheets.java
@@ -4,7 +4,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import io.violetrail.api.Ledger.Stored;
 import io.violetrail.model.JobId;
-import io.violetrail.ownership.Holding;
+import io.violetrail.ownership.OwnedEntity;
 import io.violetrail.ownership.Rows;
 import io.violetrail.wire.Cbor;
 import io.violetrail.wire.Cbor.Malformed;
@@ -28,7 +28,7 @@
   /** What an entry's name and marks take beside its description. */
   private static final int NAME_CHARS = 40;
 
-  private final Holding h;
+  private final OwnedEntity h;
   private final int maxChars;
   private final int pageJobs;
   private final List<Sheet> sheets = new ArrayList<>();
@@ -62,7 +62,7 @@
     }
   }
 
-  Sheets(Holding h, int valueBytes) {
+  Sheets(OwnedEntity h, int valueBytes) {
     this.h = h;
     this.maxChars = (int) (valueBytes * FILLED);
     this.pageJobs = Math.max(1, maxChars / NAME_CHARS);
--- a/src/main/java/io/violetrail/api/UserApi.java
+++ b/src/main/java/io/violetrail/api/UserApi.java
@@ -9,7 +9,7 @@
 import io.violetrail.model.JobView.Status;
 import io.violetrail.net.Service;
 import io.violetrail.node.Node;
-import io.violetrail.ownership.Holding;
+import io.violetrail.ownership.OwnedEntity;
 import io.violetrail.tracing.Traces;
 import io.violetrail.wire.Cbor;
 import io.violetrail.wire.Cbor.Malformed;
@@ -51,7 +51,7 @@
     boolean post = "POST".equals(method);
     boolean get = "GET".equals(method);
     if (path.equals("/agent/beat")) {
-      allow(post, done, () -> node.beats.handle(body, metrics.timed("beat", done)));
+      allow(post, done, () -> node.heartbeats.handle(body, metrics.timed("beat", done)));
     } else if (path.equals("/ready")) {
       allow(
           get,
@@ -294,7 +294,7 @@
       done.accept(Answer.of(200, JobWire.view(over)));
       return;
     }
-    Holding h = node.holdingOf(id);
+    OwnedEntity h = node.holdingOf(id);
     if (h != null && node.membership.valid()) {
       answer(jobs.cancel(h, h.jobs.get(id)), done);
       return;
--- a/src/main/java/io/violetrail/calendar/ScheduleApi.java
+++ b/src/main/java/io/violetrail/calendar/ScheduleApi.java
@@ -8,7 +8,7 @@
 import io.violetrail.model.JobId;
 import io.violetrail.net.Service;
 import io.violetrail.node.Node;
-import io.violetrail.ownership.Holding;
+import io.violetrail.ownership.OwnedEntity;
 import io.violetrail.state.StateStore.Unavailable;
 import io.violetrail.state.Tombstones;
 import io.violetrail.wire.Cbor;
@@ -147,7 +147,7 @@
       done.accept(error(503, closed == null ? "the schedules are not read yet" : closed));
       return;
     }
-    Holding own = node.membership.own();
+    OwnedEntity own = node.membership.own();
     if (schedules.count() >= MOST_SCHEDULES) {
       done.accept(error(429, "there are " + MOST_SCHEDULES + " schedules already"));
       return;
--- a/src/main/java/io/violetrail/calendar/Schedules.java
+++ b/src/main/java/io/violetrail/calendar/Schedules.java
@@ -12,7 +12,7 @@
 import io.violetrail.model.JobView;
 import io.violetrail.model.MachineType;
 import io.violetrail.node.Node;
-import io.violetrail.ownership.Holding;
+import io.violetrail.ownership.OwnedEntity;
 import io.violetrail.scheduling.Job;
 import io.violetrail.scheduling.Placement;
 import io.violetrail.state.FirstListing;
@@ -53,7 +53,7 @@
   private final Map<String, Set<LocalDate>> named = new HashMap<>();
   private final Holidays holidays = new Holidays();
   private final Days days = Days.of(holidays, named);
-  private final Map<Holding, Own> owned = new HashMap<>();
+  private final Map<OwnedEntity, Own> owned = new HashMap<>();
   private final Set<String> names = new HashSet<>();
 
   private static final class Own {
@@ -143,7 +143,7 @@
     if (!node.membership.valid() || !feed.ready()) {
       return;
     }
-    for (Holding h : node.membership.holdings()) {
+    for (OwnedEntity h : node.membership.holdings()) {
       Own own = owned.computeIfAbsent(h, this::own);
       if (!own.listing.done()) {
         load(h, own);
@@ -153,12 +153,12 @@
     }
   }
 
-  private Own own(Holding h) {
+  private Own own(OwnedEntity h) {
     return new Own(new Firing(new Port(h), () -> days, node.settings.timeBoundS()));
   }
 
   /** Rows as of after the move: what a former owner settled stands in them. */
-  private void load(Holding h, Own own) {
+  private void load(OwnedEntity h, Own own) {
     own.listing.read(
         node.store,
         ScheduleRow.ROWS,
@@ -173,10 +173,10 @@
 
   /** What the schedules of one entity reach. */
   private final class Port implements Firing.Port {
-    private final Holding h;
+    private final OwnedEntity h;
     private final Set<JobId> asking = new HashSet<>();
 
-    Port(Holding h) {
+    Port(OwnedEntity h) {
       this.h = h;
     }
 
--- a/src/main/java/io/violetrail/fleet/Fleet.java
+++ b/src/main/java/io/violetrail/fleet/Fleet.java
@@ -9,7 +9,7 @@
 import io.violetrail.model.Shape;
 import io.violetrail.net.Loop;
 import io.violetrail.node.Node;
-import io.violetrail.ownership.Holding;
+import io.violetrail.ownership.OwnedEntity;
 import io.violetrail.ownership.Rows;
 import io.violetrail.scheduling.Job;
 import io.violetrail.scheduling.Placement;
@@ -75,7 +75,7 @@
     if (!node.membership.valid()) {
       return;
     }
-    for (Holding h : node.membership.holdings()) {
+    for (OwnedEntity h : node.membership.holdings()) {
       if (h.active()) {
         giveBack(h, now);
         hires.repeat(h);
@@ -124,7 +124,7 @@
         .whenComplete((outcome, failure) -> keeping = false);
   }
 
-  private void giveBack(Holding h, double now) {
+  private void giveBack(OwnedEntity h, double now) {
     List<Machine> out = new ArrayList<>();
     Map<JobSpec, Integer> surplus = null;
     for (Machine m : h.machines.values()) {
@@ -169,7 +169,7 @@
   }
 
   /** How much more room there is than is kept ahead of need, for each class that it is kept for. */
-  private Map<JobSpec, Integer> surplus(Holding h, double now) {
+  private Map<JobSpec, Integer> surplus(OwnedEntity h, double now) {
     Map<JobSpec, Integer> surplus = new HashMap<>();
     spares
         .wanted(node.types().values(), now)
@@ -222,7 +222,7 @@
         && now - m.idleSinceS > node.prices().idleS(m.type, m.row.spot(), node.options.idleS());
   }
 
-  private void forget(Holding h, Machine m) {
+  private void forget(OwnedEntity h, Machine m) {
     if (h.machines.get(m.id()) != m) {
       return;
     }
@@ -251,7 +251,7 @@
   }
 
   /** Puts what waits into machines that boot, and rents for the rest. */
-  private void rent(Holding h, double now) {
+  private void rent(OwnedEntity h, double now) {
     RentPlan plan =
         new RentPlan(
             node.types().values(),
@@ -318,7 +318,7 @@
    * How many machines that are late may be replaced at the same time: where all boots are slow, the
    * fleet must not double.
    */
-  private static int maxReplaced(Holding h) {
+  private static int maxReplaced(OwnedEntity h) {
     int up = 0;
     for (Machine m : h.machines.values()) {
       up += m.row.up() ? 1 : 0;
@@ -327,7 +327,7 @@
   }
 
   /** Whether a probe of a job that fails everywhere finds a machine that is there anyway. */
-  private static boolean placeable(Holding h, Job job) {
+  private static boolean placeable(OwnedEntity h, Job job) {
     int room = 0;
     for (Machine m : h.machines.values()) {
       if (m.open() && job.spec.allows(m.row.type(), m.row.zone(), m.row.spot())) {
@@ -346,7 +346,7 @@
     return (int) Math.max(4, writes * boot() / 3);
   }
 
-  private void keepSpares(Holding h, RentPlan plan, double now) {
+  private void keepSpares(OwnedEntity h, RentPlan plan, double now) {
     spares
         .wanted(node.types().values(), now)
         .forEach(
@@ -364,7 +364,7 @@
   }
 
   /** Repeats the rental requests that a former owner left open. */
-  public void resume(Holding h, List<Entry> entries) {
+  public void resume(OwnedEntity h, List<Entry> entries) {
     hires.resume(h, entries);
   }
 
--- a/src/main/java/io/violetrail/fleet/Hires.java
+++ b/src/main/java/io/violetrail/fleet/Hires.java
@@ -5,7 +5,7 @@
 import io.violetrail.model.MachineId;
 import io.violetrail.model.Version;
 import io.violetrail.node.Node;
-import io.violetrail.ownership.Holding;
+import io.violetrail.ownership.OwnedEntity;
 import io.violetrail.ownership.Rows;
 import io.violetrail.ownership.Rows.MachineRow;
 import io.violetrail.wire.Cbor;
@@ -39,7 +39,7 @@
   record Offer(String type, String zone, boolean spot) {}
 
   private static final class Hire {
-    final Holding holding;
+    final OwnedEntity holding;
     final String name;
     final Offer offer;
     final int count;
@@ -48,7 +48,7 @@
     /** Its machines are known one by one. */
     boolean recorded;
 
-    Hire(Holding holding, String name, Offer offer, int count) {
+    Hire(OwnedEntity holding, String name, Offer offer, int count) {
       this.holding = holding;
       this.name = name;
       this.offer = offer;
@@ -62,7 +62,7 @@
   }
 
   /** Rents machines, as many as one request may ask for. */
-  void hire(Holding h, Offer offer, int wanted) {
+  void hire(OwnedEntity h, Offer offer, int wanted) {
     int count = Math.min(wanted, CloudWire.MAX_HIRE);
     if (!cloud.mayCall()) {
       return;
@@ -101,7 +101,7 @@
   }
 
   /** Repeats the entity's requests that have no certain answer yet. */
-  void repeat(Holding h) {
+  void repeat(OwnedEntity h) {
     for (Hire hire : List.copyOf(hires.values())) {
       if (hire.holding == h && !hire.calling && cloud.mayCall()) {
         request(hire);
@@ -111,7 +111,7 @@
 
   /** Lets go of what concerns nobody here any more. */
   void tick(double now) {
-    hires.values().removeIf(hire -> hire.holding.phase == Holding.Phase.LOST);
+    hires.values().removeIf(hire -> hire.holding.phase == OwnedEntity.Phase.LOST);
     refused.values().removeIf(until -> until < now);
   }
 
@@ -120,7 +120,7 @@
   }
 
   /** Machines asked for in an entity's name whose names are not known yet. */
-  Map<Offer, Integer> pending(Holding h) {
+  Map<Offer, Integer> pending(OwnedEntity h) {
     Map<Offer, Integer> all = new HashMap<>();
     for (Hire hire : hires.values()) {
       if (hire.holding == h && !hire.recorded) {
@@ -164,7 +164,7 @@
 
   /** Records the machines rented, each unless somebody has adopted it, and drops the request. */
   private void record(Hire hire, List<MachineId> machines) {
-    Holding h = hire.holding;
+    OwnedEntity h = hire.holding;
     List<MachineRow> rows = new ArrayList<>();
     for (MachineId id : machines) {
       // A request's row may come back by a late write after it was dropped; the cloud's answer to
@@ -189,7 +189,7 @@
             (nothing, failure) -> {
               hire.recorded = true;
               node.changed();
-              if (h.phase == Holding.Phase.LOST) {
+              if (h.phase == OwnedEntity.Phase.LOST) {
                 hires.remove(hire.name);
                 return;
               }
@@ -200,7 +200,7 @@
   }
 
   /** Repeats the rental requests that a former owner left open. */
-  void resume(Holding h, List<Entry> entries) {
+  void resume(OwnedEntity h, List<Entry> entries) {
     for (Entry e : entries) {
       String name = e.key().substring(Rows.hires(h.entity()).length());
       Offer offer =
--- a/src/main/java/io/violetrail/fleet/MachineTransfer.java
+++ b/src/main/java/io/violetrail/fleet/MachineTransfer.java
@@ -3,7 +3,7 @@
 import io.violetrail.model.Amounts;
 import io.violetrail.model.Version;
 import io.violetrail.node.Node;
-import io.violetrail.ownership.Holding;
+import io.violetrail.ownership.OwnedEntity;
 import io.violetrail.ownership.Rows.EntityRow;
 import io.violetrail.ownership.Rows.MachineRow;
 import io.violetrail.peer.ResourceRequest;
@@ -36,7 +36,8 @@
   }
 
   /** Gives idle machines of a held entity that suit the request. */
-  void give(Holding h, EntityRow target, ResourceRequest request, Map<String, Amounts> freeQuotas) {
+  void give(
+      OwnedEntity h, EntityRow target, ResourceRequest request, Map<String, Amounts> freeQuotas) {
     double now = node.loop.seconds();
     List<Job> first = wantingBefore(h, request, freeQuotas, now);
     if (!request.starving() && wantedHere(h, request)) {
@@ -78,7 +79,7 @@
    * of two entities cannot share a machine. They pass at a later asking. What waits here itself, or
    * came just now, is not touched, so that no machine goes to and fro.
    */
-  private void evict(Holding h, ResourceRequest request, int tasks, double now) {
+  private void evict(OwnedEntity h, ResourceRequest request, int tasks, double now) {
     List<Machine> used = new ArrayList<>();
     int left = tasks;
     for (Machine m : h.machines.values()) {
@@ -106,7 +107,7 @@
     }
   }
 
-  private static boolean waitsHere(Holding h) {
+  private static boolean waitsHere(OwnedEntity h) {
     for (Job job : h.jobs.values()) {
       if (job.phase == Job.Phase.OPEN && job.unplaced() > 0 && !job.spareWork) {
         return true;
@@ -134,7 +135,7 @@
   /**
    * Whether an own job that is more urgent, or has waited longer, waits for the same kind of room.
    */
-  private static boolean wantedHere(Holding h, ResourceRequest request) {
+  private static boolean wantedHere(OwnedEntity h, ResourceRequest request) {
     return h.jobs.values().stream().anyMatch(job -> waitsBefore(job, request));
   }
 
@@ -152,7 +153,7 @@
    * the part of their team's limit for it.
    */
   private List<Job> wantingBefore(
-      Holding h, ResourceRequest request, Map<String, Amounts> freeQuotas, double now) {
+      OwnedEntity h, ResourceRequest request, Map<String, Amounts> freeQuotas, double now) {
     List<Job> first = new ArrayList<>();
     for (Job job : h.jobs.values()) {
       if (waitsBefore(job, request)
@@ -179,7 +180,7 @@
   }
 
   /** One conditional write gives the machine to the other entity and raises its term. */
-  private void pass(Holding h, Machine m, EntityRow target) {
+  private void pass(OwnedEntity h, Machine m, EntityRow target) {
     m.promised = true;
     Version above = h.token(m).compareTo(target.version()) > 0 ? h.token(m) : target.version();
     MachineRow next = m.row.passedTo(target.entity(), above.nextFor(target.version().owner()));
@@ -196,7 +197,7 @@
                     next.term());
                 h.machines.remove(m.id(), m);
                 node.changed();
-                node.beats.answer(m.id());
+                node.heartbeats.answer(m.id());
               } else {
                 node.checkMachine(h, m);
               }
--- a/src/main/java/io/violetrail/fleet/QuotaTransfer.java
+++ b/src/main/java/io/violetrail/fleet/QuotaTransfer.java
@@ -8,8 +8,8 @@
 import io.violetrail.model.ControllerId;
 import io.violetrail.net.Loop;
 import io.violetrail.ownership.Directory;
-import io.violetrail.ownership.Holding;
 import io.violetrail.ownership.Membership;
+import io.violetrail.ownership.OwnedEntity;
 import io.violetrail.ownership.Rows;
 import io.violetrail.peer.ResourceRequest;
 import io.violetrail.scheduling.Job;
@@ -88,7 +88,7 @@
    * What may be started of a held entity's slice of a team's limit: nothing while the slices add up
    * to more than the limit in force.
    */
-  public Amounts free(Holding h, String team, double now) {
+  public Amounts free(OwnedEntity h, String team, double now) {
     Team t = configuration.team(team);
     if (t == null) {
       return Amounts.NONE;
@@ -97,7 +97,7 @@
   }
 
   /** What is left of a held entity's slice, whatever the limit in force says. */
-  private Amounts unused(Holding h, String team, double now) {
+  private Amounts unused(OwnedEntity h, String team, double now) {
     Amounts outOfUse = underWay.getOrDefault(key(h, team), Amounts.NONE);
     if (Double.isInfinite(outOfUse.cpus()) || Double.isInfinite(outOfUse.gpus())) {
       return TeamSlices.NOTHING;
@@ -105,7 +105,7 @@
     return slices.of(h.entity(), team).minus(outOfUse).minus(h.used(team, now));
   }
 
-  private static String key(Holding h, String team) {
+  private static String key(OwnedEntity h, String team) {
     return h.entity() + "/" + team;
   }
 
@@ -159,7 +159,7 @@
    * tasks alone: a task that needs more than one entity's slice, or a gang that needs all of the
    * limit, is put together from what each of the others can spare.
    */
-  void give(Holding h, ControllerId to, ResourceRequest request) {
+  void give(OwnedEntity h, ControllerId to, ResourceRequest request) {
     Team team = configuration.team(request.team());
     if (team == null || underWay.containsKey(key(h, request.team()))) {
       return;
@@ -182,7 +182,7 @@
   }
 
   /** What jobs here that go before the request still wait for. */
-  private static Amounts waiting(Holding h, ResourceRequest request, double now) {
+  private static Amounts waiting(OwnedEntity h, ResourceRequest request, double now) {
     Amounts sum = Amounts.NONE;
     for (Job job : h.jobs.values()) {
       if (job.phase == Job.Phase.OPEN
@@ -199,7 +199,7 @@
    * Takes what is lacking from the part of a raised limit that is in nobody's slice; false if there
    * is no such part.
    */
-  boolean claim(Holding h, String team, Amounts lacking) {
+  boolean claim(OwnedEntity h, String team, Amounts lacking) {
     Team t = configuration.team(team);
     if (t == null || !configuration.canChange() || slices.exceed(t)) {
       return false;
@@ -219,14 +219,14 @@
    * parts are even ones, whatever the slices were: in proportion to them, each write made the next
    * one due.
    */
-  public void returnExcess(Collection<Holding> holdings) {
+  public void returnExcess(Collection<OwnedEntity> holdings) {
     if (!configuration.canChange() || !membership.valid() || !configuration.fresh()) {
       return;
     }
     double now = loop.seconds();
     for (Team team : configuration.teams()) {
       if (slices.exceed(team)) {
-        for (Holding h : holdings) {
+        for (OwnedEntity h : holdings) {
           if (h.active() && !underWay.containsKey(key(h, team.name()))) {
             returnExcess(h, team, now);
           }
@@ -235,7 +235,7 @@
     }
   }
 
-  private void returnExcess(Holding h, Team team, double now) {
+  private void returnExcess(OwnedEntity h, Team team, double now) {
     Amounts slice = slices.of(h.entity(), team.name());
     int parts = settings.controllers().size();
     Amounts due = smaller(slice, new Amounts(team.cpusMax() / parts, team.gpusMax() / parts, 0));
@@ -256,9 +256,9 @@
    * Takes back placements that no worker was told of, of teams whose slices exceed their limits:
    * they were decided on by the revision before.
    */
-  public void dropUnsent(Collection<Holding> holdings) {
+  public void dropUnsent(Collection<OwnedEntity> holdings) {
     double now = loop.seconds();
-    for (Holding h : holdings) {
+    for (OwnedEntity h : holdings) {
       h.machines.values().stream()
           .flatMap(m -> List.copyOf(m.tasks().values()).stream())
           .filter(Placement::revocable)
@@ -275,10 +275,10 @@
 
   /** A change of one held entity's slice. */
   private abstract static class Move {
-    final Holding holder;
+    final OwnedEntity holder;
     final Team team;
 
-    Move(Holding holder, Team team) {
+    Move(OwnedEntity holder, Team team) {
       this.holder = holder;
       this.team = team;
     }
@@ -309,7 +309,7 @@
     private final ControllerId to;
     private final Amounts enough;
 
-    Gift(Holding holder, Team team, Amounts part, ControllerId to, Amounts enough) {
+    Gift(OwnedEntity holder, Team team, Amounts part, ControllerId to, Amounts enough) {
       super(holder, team);
       this.part = part;
       this.to = to;
@@ -346,7 +346,7 @@
     private final Amounts part;
     private final Amounts keep;
 
-    Return(Holding holder, Team team, Amounts part, Amounts keep) {
+    Return(OwnedEntity holder, Team team, Amounts part, Amounts keep) {
       super(holder, team);
       this.part = part;
       this.keep = keep;
@@ -377,7 +377,7 @@
     private final Amounts lacking;
     private final long configurationStamp;
 
-    Claim(Holding holder, Team team, Amounts lacking, long configurationStamp) {
+    Claim(OwnedEntity holder, Team team, Amounts lacking, long configurationStamp) {
       super(holder, team);
       this.lacking = lacking;
       this.configurationStamp = configurationStamp;
--- a/src/main/java/io/violetrail/fleet/TransferRequests.java
+++ b/src/main/java/io/violetrail/fleet/TransferRequests.java
@@ -5,7 +5,7 @@
 import io.violetrail.model.JobId;
 import io.violetrail.model.MachineType;
 import io.violetrail.node.Node;
-import io.violetrail.ownership.Holding;
+import io.violetrail.ownership.OwnedEntity;
 import io.violetrail.ownership.Rows.EntityRow;
 import io.violetrail.peer.ResourceRequest;
 import io.violetrail.scheduling.Job;
@@ -45,7 +45,7 @@
   }
 
   /** Asks the peers for what waiting jobs lack. */
-  public void ask(Holding h) {
+  public void ask(OwnedEntity h) {
     double now = node.loop.seconds();
     if (now - askedS < ASK_S) {
       return;
@@ -80,7 +80,7 @@
         String.valueOf(job.gathers(now)));
   }
 
-  private void ask(Holding h, Job job, double now, List<ResourceRequest> requests) {
+  private void ask(OwnedEntity h, Job job, double now, List<ResourceRequest> requests) {
     int waiting = job.unplaced();
     Amounts quota = node.dispatcher.quota(h, job.spec.team(), now);
     int allowed = quota.count(job.spec.task());
@@ -106,7 +106,7 @@
    * Machines for a job. A gang of one zone asks in the zone where it has the most room, for what is
    * missing there: machines of several zones would lie idle in parts.
    */
-  private ResourceRequest machinesFor(Holding h, Job job, int tasks) {
+  private ResourceRequest machinesFor(OwnedEntity h, Job job, int tasks) {
     if (!job.spec.oneZone() || job.spec.zone() != null) {
       return request(job, tasks);
     }
@@ -153,7 +153,7 @@
     if (target == null || !node.membership.valid()) {
       return;
     }
-    for (Holding h : node.membership.holdings()) {
+    for (OwnedEntity h : node.membership.holdings()) {
       if (h.active() && !h.entity().equals(to)) {
         // Summed up over all machines, so once for all requests.
         Map<String, Amounts> freeQuotas = new HashMap<>();
--- a/src/main/java/io/violetrail/kubernetes/DeploymentSteps.java
+++ b/src/main/java/io/violetrail/kubernetes/DeploymentSteps.java
@@ -6,7 +6,7 @@
 import io.violetrail.kubernetes.Rollout.Plan;
 import io.violetrail.kubernetes.Rollout.Replica;
 import io.violetrail.node.Node;
-import io.violetrail.ownership.Holding;
+import io.violetrail.ownership.OwnedEntity;
 import io.violetrail.scheduling.Job;
 import io.violetrail.wire.Cbor;
 import java.util.ArrayList;
@@ -33,7 +33,7 @@
   }
 
   /** The object's next state if it is to be stored, otherwise null. */
-  KubeObject step(Holding h, KubeObject object) {
+  KubeObject step(OwnedEntity h, KubeObject object) {
     if (h.uncertain(node.loop.seconds())) {
       // After a move replicas are seen one by one. Those that had not been seen yet were taken for
       // not running, and a rollout ended all of them at once.
--- a/src/main/java/io/violetrail/kubernetes/JobSteps.java
+++ b/src/main/java/io/violetrail/kubernetes/JobSteps.java
@@ -5,7 +5,7 @@
 import io.violetrail.model.JobView;
 import io.violetrail.model.JobView.Status;
 import io.violetrail.node.Node;
-import io.violetrail.ownership.Holding;
+import io.violetrail.ownership.OwnedEntity;
 import io.violetrail.scheduling.Job;
 import io.violetrail.wire.Cbor;
 
@@ -25,7 +25,7 @@
   }
 
   /** The object's next state if it is to be stored, otherwise null. */
-  KubeObject step(Holding h, KubeObject object) {
+  KubeObject step(OwnedEntity h, KubeObject object) {
     if (ended(object)) {
       boolean over = object.deleting() && !h.jobs.containsKey(object.parts().get(0).id());
       return over ? object.with(v -> v.put("over", true)) : null;
@@ -63,7 +63,7 @@
    * Failures counted before this owner's time. It counts its own from its version on; what it did
    * not get to write down is lost with it, which grants a few more tries.
    */
-  private static int failedBefore(Holding h, KubeObject object) {
+  private static int failedBefore(OwnedEntity h, KubeObject object) {
     boolean own = object.value().path("by").asLong(-1) == h.row.version().value();
     return object.value().path(own ? "base" : "failed").asInt();
   }
@@ -119,7 +119,7 @@
         });
   }
 
-  private KubeObject counts(Holding h, KubeObject object, Job job, JobView view, int failed) {
+  private KubeObject counts(OwnedEntity h, KubeObject object, Job job, JobView view, int failed) {
     if (job.recovered && h.uncertain(node.loop.seconds())) {
       // Tasks that have not been seen since a move would be counted as not running.
       return null;
--- a/src/main/java/io/violetrail/kubernetes/Keeper.java
+++ b/src/main/java/io/violetrail/kubernetes/Keeper.java
@@ -6,7 +6,7 @@
 import io.violetrail.model.JobId;
 import io.violetrail.model.JobSpec;
 import io.violetrail.node.Node;
-import io.violetrail.ownership.Holding;
+import io.violetrail.ownership.OwnedEntity;
 import io.violetrail.scheduling.Job;
 import io.violetrail.state.FirstListing;
 import io.violetrail.state.Tombstones;
@@ -42,7 +42,7 @@
   private final Node node;
   private final JobSteps jobs;
   private final DeploymentSteps deployments;
-  private final Map<Holding, Own> owned = new HashMap<>();
+  private final Map<OwnedEntity, Own> owned = new HashMap<>();
 
   /** What is kept of one held entity. */
   private static final class Own {
@@ -125,7 +125,7 @@
     if (!node.membership.valid()) {
       return;
     }
-    for (Holding h : node.membership.holdings()) {
+    for (OwnedEntity h : node.membership.holdings()) {
       Own own = owned.computeIfAbsent(h, x -> new Own());
       if (!own.listing.done()) {
         load(h, own);
@@ -136,7 +136,7 @@
   }
 
   /** Rows as of after the move: from here on the feed tells of every change. */
-  private void load(Holding h, Own own) {
+  private void load(OwnedEntity h, Own own) {
     own.listing.read(
         node.store,
         KubeObject.ROWS,
@@ -154,7 +154,7 @@
         () -> LOG.info("entity {}: {} objects", h.entity(), own.objects.size()));
   }
 
-  private void turn(Holding h, Own own) {
+  private void turn(OwnedEntity h, Own own) {
     if (own.turn.isEmpty()) {
       own.turn.addAll(own.objects.keySet());
     }
@@ -177,7 +177,7 @@
   }
 
   /** Stores the next state of an object, unless it has been changed meanwhile. */
-  private void write(Holding h, Own own, KubeObject before, KubeObject next) {
+  private void write(OwnedEntity h, Own own, KubeObject before, KubeObject next) {
     String key = before.key();
     own.writing.add(key);
     var txn = h.fenced().when(key, before.stamp());
@@ -201,7 +201,7 @@
   }
 
   /** Ends what a deleted object has left; its last row goes when nothing is. */
-  private void bury(Holding h, Own own, String key, Gone gone) {
+  private void bury(OwnedEntity h, Own own, String key, Gone gone) {
     boolean left = false;
     for (Part part : gone.last().parts()) {
       Job job = h.jobs.get(part.id());
@@ -225,7 +225,7 @@
   }
 
   /** Cancels a native job for good; repeated until that is stored. */
-  void end(Holding h, Job job) {
+  void end(OwnedEntity h, Job job) {
     if (job.phase == Job.Phase.OPEN) {
       LOG.info("job {} of entity {} is cancelled for its object", job.spec.id(), h.entity());
       node.jobs.cancel(h, job);
@@ -233,7 +233,7 @@
   }
 
   /** Whether a native job is being looked up or stored. */
-  boolean busy(Holding h, JobId id) {
+  boolean busy(OwnedEntity h, JobId id) {
     Own own = owned.get(h);
     return own != null && own.writing.contains(id.value());
   }
@@ -243,7 +243,7 @@
    * repeated, since its id can be claimed once. Nothing is stored for an object that has been
    * changed since: it may not want the job any more, and nobody would end it.
    */
-  void ensure(Holding h, KubeObject object, JobSpec spec) {
+  void ensure(OwnedEntity h, KubeObject object, JobSpec spec) {
     lookUp(
         h,
         spec.id(),
@@ -258,13 +258,13 @@
   }
 
   /** Whether a native job was never submitted, for sure, and will not be. */
-  boolean never(Holding h, JobId id) {
+  boolean never(OwnedEntity h, JobId id) {
     Own own = owned.get(h);
     return own != null && own.never.contains(id);
   }
 
   /** Learns for sure whether a native job that is not wanted any more was ever submitted. */
-  void recall(Holding h, JobId id) {
+  void recall(OwnedEntity h, JobId id) {
     lookUp(
         h,
         id,
@@ -274,7 +274,7 @@
         });
   }
 
-  private void lookUp(Holding h, JobId id, BiConsumer<Own, Runnable> absent) {
+  private void lookUp(OwnedEntity h, JobId id, BiConsumer<Own, Runnable> absent) {
     Own own = owned.get(h);
     if (own == null || !own.writing.add(id.value())) {
       return;
--- a/src/main/java/io/violetrail/kubernetes/Objects.java
+++ b/src/main/java/io/violetrail/kubernetes/Objects.java
@@ -7,7 +7,7 @@
 import io.violetrail.model.JobId;
 import io.violetrail.model.JobSpec;
 import io.violetrail.node.Node;
-import io.violetrail.ownership.Holding;
+import io.violetrail.ownership.OwnedEntity;
 import io.violetrail.state.StateStore.Unavailable;
 import io.violetrail.state.Tombstones;
 import io.violetrail.wire.Cbor;
@@ -63,7 +63,7 @@
       to.answer(KubeStatus.unavailable(closed == null ? "the objects are not read yet" : closed));
       return;
     }
-    Holding own = node.membership.own();
+    OwnedEntity own = node.membership.own();
     if (feed.count(kind, namespace) >= MOST_OBJECTS) {
       to.answer(KubeStatus.tooMany("the namespace holds " + MOST_OBJECTS + " " + kind.plural()));
       return;
@@ -94,7 +94,7 @@
 
   /** A repeated creation that names its request makes the very same object once more. */
   private KubeObject fresh(
-      Kind kind, String namespace, String given, ObjectNode manifest, Holding own) {
+      Kind kind, String namespace, String given, ObjectNode manifest, OwnedEntity own) {
     JsonNode meta = manifest.path("metadata");
     String request = meta.path("annotations").path(KubeObject.REQUEST_ID).asText("");
     String begins = meta.path("generateName").asText("");
@@ -133,7 +133,7 @@
             });
   }
 
-  private void alone(KubeObject object, Holding own, Exchange to) {
+  private void alone(KubeObject object, OwnedEntity own, Exchange to) {
     Tombstones.creation(node.store, own::fenced, object.key(), object.value())
         .thenCompose(node.store::settle)
         .whenComplete(
--- a/src/main/java/io/violetrail/kubernetes/Pods.java
+++ b/src/main/java/io/violetrail/kubernetes/Pods.java
@@ -7,7 +7,7 @@
 import io.violetrail.model.ControllerId;
 import io.violetrail.net.Http;
 import io.violetrail.node.Node;
-import io.violetrail.ownership.Holding;
+import io.violetrail.ownership.OwnedEntity;
 import io.violetrail.scheduling.Job;
 import io.violetrail.scheduling.Placement;
 import io.violetrail.wire.Cbor;
@@ -144,7 +144,7 @@
 
   /** One more than asked for, so that the end of a page shows; null if the entity is not held. */
   private List<ObjectNode> held(ControllerId entity, String namespace, Query query) {
-    Holding h = node.membership.valid() ? node.membership.holding(entity) : null;
+    OwnedEntity h = node.membership.valid() ? node.membership.holding(entity) : null;
     List<KubeObject> objects = h == null ? null : keeper.held(entity, namespace);
     if (objects == null) {
       return null;
@@ -159,7 +159,7 @@
     return pods.size() > query.limit() + 1 ? pods.subList(0, query.limit() + 1) : pods;
   }
 
-  private void of(Holding h, KubeObject object, Part part, Query query, List<ObjectNode> pods) {
+  private void of(OwnedEntity h, KubeObject object, Part part, Query query, List<ObjectNode> pods) {
     Job job = h.jobs.get(part.id());
     boolean complete =
         object.status().path("conditions").path(0).path("type").asText().equals("Complete");
--- a/src/main/java/io/violetrail/node/Node.java
+++ b/src/main/java/io/violetrail/node/Node.java
@@ -26,8 +26,8 @@
 import io.violetrail.net.Loop;
 import io.violetrail.net.Service;
 import io.violetrail.ownership.Directory;
-import io.violetrail.ownership.Holding;
 import io.violetrail.ownership.Membership;
+import io.violetrail.ownership.OwnedEntity;
 import io.violetrail.ownership.Rows;
 import io.violetrail.ownership.Rows.MachineRow;
 import io.violetrail.ownership.Timing;
@@ -39,9 +39,9 @@
 import io.violetrail.tracing.Traces;
 import io.violetrail.wire.Cbor.Malformed;
 import io.violetrail.wire.CloudWire;
-import io.violetrail.worker.Beats;
-import io.violetrail.worker.Halts;
-import io.violetrail.worker.Hearing;
+import io.violetrail.worker.HeartbeatHandler;
+import io.violetrail.worker.TaskStopper;
+import io.violetrail.worker.WorkerReachability;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -74,9 +74,9 @@
   public final Peers peers;
   public final QuotaTransfer quotas;
   public final TransferRequests transfers;
-  public final Beats beats;
-  public final Hearing hearing;
-  public final Halts halts;
+  public final HeartbeatHandler heartbeats;
+  public final WorkerReachability reachability;
+  public final TaskStopper taskStopper;
   public final Estimates estimates = new Estimates();
 
   /** Serves the paths of what is off unless it is switched on; null if nothing is. */
@@ -106,14 +106,14 @@
             : new FixedConfiguration(settings, directory);
     this.jobs = new Jobs(this);
     this.intake = new Intake(this);
-    this.halts = new Halts(this, http);
+    this.taskStopper = new TaskStopper(this, http);
     this.dispatcher = new Dispatcher(this);
     this.peers = new Peers(this, http);
     this.quotas = new QuotaTransfer(loop, store, directory, membership, settings, configuration);
     this.transfers = new TransferRequests(this, quotas);
     this.fleet = new Fleet(this, new CloudClient(loop, http, settings));
-    this.beats = new Beats(this, jobs);
-    this.hearing = new Hearing(this, http);
+    this.heartbeats = new HeartbeatHandler(this, jobs);
+    this.reachability = new WorkerReachability(this, http);
     this.api = new UserApi(this, jobs);
   }
 
@@ -148,8 +148,8 @@
     peers.start();
     dispatcher.start();
     fleet.start();
-    hearing.start();
-    halts.start();
+    reachability.start();
+    taskStopper.start();
     loop.every(TELL_S, this::tell);
   }
 
@@ -158,7 +158,7 @@
    * message may be lost: it is told until its grace is over in any case.
    */
   private void tell() {
-    for (Holding h : membership.holdings()) {
+    for (OwnedEntity h : membership.holdings()) {
       if (!h.calm && loop.seconds() - h.gainedS < timing.ttlS() + timing.graceS()) {
         peers.announce(h);
       }
@@ -195,7 +195,7 @@
   }
 
   /** The machine of a held entity; null while its type is not known. */
-  public Machine machine(Holding h, MachineRow row) {
+  public Machine machine(OwnedEntity h, MachineRow row) {
     Machine m = h.machines.get(row.id());
     if (m != null) {
       return m;
@@ -205,7 +205,7 @@
     return add(h, row, loop.seconds());
   }
 
-  private Machine add(Holding h, MachineRow row, double unheardGoneS) {
+  private Machine add(OwnedEntity h, MachineRow row, double unheardGoneS) {
     MachineType type = type(row.type());
     if (type == null) {
       return null;
@@ -219,7 +219,7 @@
   }
 
   /** Records that a machine has reported, before anything may be launched on it. */
-  public void markUp(Holding h, Machine m) {
+  public void markUp(OwnedEntity h, Machine m) {
     if (m.marking || !h.active() || !membership.valid()) {
       return;
     }
@@ -228,7 +228,7 @@
   }
 
   /** The worker has seen a higher token than ours: its term is raised above that. */
-  public void raiseTerm(Holding h, Machine m, Version seen) {
+  public void raiseTerm(OwnedEntity h, Machine m, Version seen) {
     if (m.marking || !h.active() || !membership.valid()) {
       return;
     }
@@ -238,7 +238,7 @@
     rewrite(h, m, m.row.raised(term));
   }
 
-  private void rewrite(Holding h, Machine m, MachineRow next) {
+  private void rewrite(OwnedEntity h, Machine m, MachineRow next) {
     h.register
         .change(m.row, next)
         .whenComplete(
@@ -259,7 +259,7 @@
   }
 
   /** Removes a machine that the cloud has taken back for sure. */
-  public void removed(Holding h, Machine m) {
+  public void removed(OwnedEntity h, Machine m) {
     for (var p : List.copyOf(m.tasks().values())) {
       h.unplace(p, loop.seconds());
     }
@@ -269,7 +269,7 @@
   }
 
   /** After an unclear write: whether a machine is still this entity's. */
-  public void checkMachine(Holding h, Machine m) {
+  public void checkMachine(OwnedEntity h, Machine m) {
     membership.relistThen(
         () -> {
           MachineRow row = directory.machine(m.id());
@@ -283,13 +283,13 @@
   }
 
   @Override
-  public void gained(Holding h) {
+  public void gained(OwnedEntity h) {
     peers.announce();
     load(h);
   }
 
-  private void load(Holding h) {
-    if (h.phase != Holding.Phase.LOADING) {
+  private void load(OwnedEntity h) {
+    if (h.phase != OwnedEntity.Phase.LOADING) {
       return;
     }
     var open = store.list(Rows.sheets(h.entity())).thenCompose(l -> jobs.open(h, l.entries()));
@@ -307,7 +307,7 @@
                 return;
               }
               directory.replace(listing.entries(), listing.revision());
-              if (h.phase != Holding.Phase.LOADING) {
+              if (h.phase != OwnedEntity.Phase.LOADING) {
                 return;
               }
               if (!activate(h)) {
@@ -326,7 +326,7 @@
             });
   }
 
-  private boolean activate(Holding h) {
+  private boolean activate(OwnedEntity h) {
     double now = loop.seconds();
     double gone =
         Math.max(
@@ -341,12 +341,12 @@
         return false;
       }
     }
-    h.phase = Holding.Phase.ACTIVE;
+    h.phase = OwnedEntity.Phase.ACTIVE;
     return true;
   }
 
   @Override
-  public void lost(Holding h) {
+  public void lost(OwnedEntity h) {
     peers.announce();
   }
 
@@ -354,7 +354,7 @@
   @Override
   public void changed() {
     configuration.rowsChanged();
-    for (Holding h : membership.holdings()) {
+    for (OwnedEntity h : membership.holdings()) {
       if (!h.active()) {
         continue;
       }
@@ -374,7 +374,7 @@
 
   @Override
   public boolean deaf() {
-    return hearing.deaf();
+    return reachability.deaf();
   }
 
   @Override
@@ -386,7 +386,7 @@
    * Whether requests of users can be taken: the own entity is here, and its lease at most lapsing.
    */
   public boolean ready() {
-    Holding own = membership.own();
+    OwnedEntity own = membership.own();
     return own != null && own.active() && membership.mayKeepAlive() && !types().isEmpty();
   }
 
@@ -403,14 +403,14 @@
     if (over != null || !membership.valid()) {
       return over;
     }
-    Holding h = holdingOf(id);
+    OwnedEntity h = holdingOf(id);
     Job job = h == null ? null : h.jobs.get(id);
     return job == null || job.endUndecided() ? null : job.view();
   }
 
   /** The held entity that has the job open; null if there is none. */
-  public Holding holdingOf(JobId id) {
-    for (Holding h : membership.holdings()) {
+  public OwnedEntity holdingOf(JobId id) {
+    for (OwnedEntity h : membership.holdings()) {
       if (h.active() && h.jobs.containsKey(id)) {
         return h;
       }
--- a/src/main/java/io/violetrail/ownership/Membership.java
+++ b/src/main/java/io/violetrail/ownership/Membership.java
@@ -6,7 +6,7 @@
 import io.violetrail.model.Version;
 import io.violetrail.net.Loop;
 import io.violetrail.ownership.Rows.EntityRow;
-import io.violetrail.ownership.Rows.Past;
+import io.violetrail.ownership.Rows.OwnershipHistory;
 import io.violetrail.state.StateStore;
 import io.violetrail.wire.StateWire;
 import io.violetrail.wire.StateWire.Change;
@@ -43,9 +43,9 @@
 
   /** Told of moves. */
   public interface Listener {
-    void gained(Holding holding);
+    void gained(OwnedEntity holding);
 
-    void lost(Holding holding);
+    void lost(OwnedEntity holding);
 
     void changed();
 
@@ -62,7 +62,7 @@
   private final Directory directory;
   private final Timing timing;
   private final Listener listener;
-  private final Map<ControllerId, Holding> holdings = new HashMap<>();
+  private final Map<ControllerId, OwnedEntity> holdings = new HashMap<>();
   private final Set<ControllerId> moving = new HashSet<>();
   private final Map<ControllerId, Double> absentSince = new HashMap<>();
   private long lease;
@@ -107,15 +107,15 @@
   }
 
   /** The entity if held here; null otherwise. */
-  public Holding holding(ControllerId entity) {
+  public OwnedEntity holding(ControllerId entity) {
     return holdings.get(entity);
   }
 
-  public Holding own() {
+  public OwnedEntity own() {
     return holdings.get(settings.self());
   }
 
-  public List<Holding> holdings() {
+  public List<OwnedEntity> holdings() {
     return List.copyOf(holdings.values());
   }
 
@@ -164,7 +164,7 @@
       txn.when(Rows.entity(me), mine == null ? 0 : mine.stamp())
           .set(Rows.entity(me), Rows.value(next, me.value()));
     }
-    for (Holding h : holdings.values()) {
+    for (OwnedEntity h : holdings.values()) {
       txn.when(Rows.entity(h.entity()), h.row.stamp());
     }
     EntityRow retaken = next;
@@ -191,17 +191,18 @@
             });
   }
 
-  private Past past(EntityRow row, boolean seized) {
-    return timing.afterMove(row == null ? Past.NONE : row.past(), loop.wallMillis(), seized);
+  private OwnershipHistory past(EntityRow row, boolean seized) {
+    return timing.afterMove(
+        row == null ? OwnershipHistory.NONE : row.past(), loop.wallMillis(), seized);
   }
 
   /** Whether workers' leases may be renewed while the entity's rows are still being read. */
-  public boolean mayRenewUnknowing(Holding h) {
+  public boolean mayRenewUnknowing(OwnedEntity h) {
     return timing.mayRenewUnknowing(h.row.past(), loop.wallMillis());
   }
 
   private void doubt(String key) {
-    for (Holding h : holdings()) {
+    for (OwnedEntity h : holdings()) {
       if (Rows.entity(h.entity()).equals(key)) {
         drop(h, "its row has changed");
       }
@@ -312,7 +313,7 @@
       LOG.info(doubted ? "lease in doubt: nothing is launched" : "lease valid");
     }
     for (EntityRow row : directory.entities()) {
-      Holding held = holdings.get(row.entity());
+      OwnedEntity held = holdings.get(row.entity());
       ControllerId owner = directory.owner(row);
       if (held != null) {
         if (row.stamp() > held.row.stamp()) {
@@ -403,11 +404,11 @@
   }
 
   /** Hands an entity to its home controller. Nothing is launched for it from here on. */
-  public void release(Holding h, ControllerId to) {
-    if (h.phase != Holding.Phase.ACTIVE || !valid() || !directory.isAlive(to)) {
+  public void release(OwnedEntity h, ControllerId to) {
+    if (h.phase != OwnedEntity.Phase.ACTIVE || !valid() || !directory.isAlive(to)) {
       return;
     }
-    h.phase = Holding.Phase.RELEASING;
+    h.phase = OwnedEntity.Phase.RELEASING;
     EntityRow next =
         new EntityRow(
             h.entity(),
@@ -431,7 +432,7 @@
                     new Change(
                         Rows.entity(h.entity()), Rows.value(next, to.value()), outcome.revision()));
               } else if (failure == null && !outcome.failed().contains(Rows.entity(h.entity()))) {
-                h.phase = Holding.Phase.ACTIVE;
+                h.phase = OwnedEntity.Phase.ACTIVE;
               } else {
                 relist();
               }
@@ -442,7 +443,7 @@
     directory.apply(
         new Change(
             Rows.entity(row.entity()), Rows.value(row, settings.self().value()), row.stamp()));
-    Holding h = new Holding(row, calm, loop.seconds());
+    OwnedEntity h = new OwnedEntity(row, calm, loop.seconds());
     h.register = new Register(loop, store, directory, this, settings, h);
     holdings.put(row.entity(), h);
     LOG.info("entity {} held with version {}", row.entity(), row.version());
@@ -450,9 +451,9 @@
   }
 
   /** Gives up an entity that another controller owns by now. */
-  public void drop(Holding h, String why) {
+  public void drop(OwnedEntity h, String why) {
     if (holdings.remove(h.entity(), h)) {
-      h.phase = Holding.Phase.LOST;
+      h.phase = OwnedEntity.Phase.LOST;
       LOG.info("entity {} version {} given up: {}", h.entity(), h.row.version(), why);
       listener.lost(h);
     }
@@ -466,7 +467,7 @@
   /** A peer says that an entity has moved; versions only grow, so a higher one is believed. */
   public void told(ControllerId entity, Version version) {
     directory.told(entity, version);
-    Holding h = holdings.get(entity);
+    OwnedEntity h = holdings.get(entity);
     if (h != null && version.compareTo(h.row.version()) > 0) {
       drop(h, "a peer knows version " + version);
       relist();
--- a/src/main/java/io/violetrail/ownership/Holding.java
+++ b/src/main/java/io/violetrail/ownership/OwnedEntity.java
@@ -16,7 +16,7 @@
 import java.util.Map;
 
 /** An entity while this controller owns it: its jobs and machines as known here. */
-public final class Holding {
+public final class OwnedEntity {
   /** From the move's transaction to the next one. */
   public enum Phase {
     LOADING,
@@ -44,7 +44,7 @@
   private long attempts;
   private long hires;
 
-  public Holding(EntityRow row, boolean calm, double now) {
+  public OwnedEntity(EntityRow row, boolean calm, double now) {
     row.version().requireToken();
     this.row = row;
     this.calm = calm;
--- a/src/main/java/io/violetrail/ownership/Register.java
+++ b/src/main/java/io/violetrail/ownership/Register.java
@@ -47,7 +47,7 @@
   private final Directory directory;
   private final Membership membership;
   private final Settings settings;
-  private final Holding h;
+  private final OwnedEntity h;
   private final int blockSize;
   private List<Edit> edits = new ArrayList<>();
   private final Soon next;
@@ -92,7 +92,7 @@
       Directory directory,
       Membership membership,
       Settings settings,
-      Holding h) {
+      OwnedEntity h) {
     this.next = new Soon(loop, this::write);
     this.store = store;
     this.directory = directory;
@@ -179,7 +179,7 @@
   }
 
   private boolean over() {
-    return h.phase == Holding.Phase.LOST;
+    return h.phase == OwnedEntity.Phase.LOST;
   }
 
   /** What one transaction is to write, worked out on the blocks as they are known. */
--- a/src/main/java/io/violetrail/ownership/Rows.java
+++ b/src/main/java/io/violetrail/ownership/Rows.java
@@ -43,7 +43,7 @@
    * seized.
    */
   public record EntityRow(
-      ControllerId entity, Version version, boolean calm, Past past, long stamp) {
+      ControllerId entity, Version version, boolean calm, OwnershipHistory past, long stamp) {
     public EntityRow stamped(long newStamp) {
       return new EntityRow(entity, version, calm, past, newStamp);
     }
@@ -56,8 +56,8 @@
    *     jobs were over
    * @param seizedMs when it was last seized: that owner may have used its grace from then on
    */
-  public record Past(long unknownMs, long seizedMs) {
-    public static final Past NONE = new Past(0, 0);
+  public record OwnershipHistory(long unknownMs, long seizedMs) {
+    public static final OwnershipHistory NONE = new OwnershipHistory(0, 0);
   }
 
   /**
@@ -180,7 +180,7 @@
         new ControllerId(key.substring(ENTITY.length())),
         new Version(v.path("version").asLong()),
         v.path("calm").asBoolean(),
-        new Past(v.path("unknown").asLong(), v.path("seized").asLong()),
+        new OwnershipHistory(v.path("unknown").asLong(), v.path("seized").asLong()),
         stamp);
   }
 
--- a/src/main/java/io/violetrail/ownership/Timing.java
+++ b/src/main/java/io/violetrail/ownership/Timing.java
@@ -1,7 +1,7 @@
 package io.violetrail.ownership;
 
 import io.violetrail.config.Settings;
-import io.violetrail.ownership.Rows.Past;
+import io.violetrail.ownership.Rows.OwnershipHistory;
 
 /**
  * The intervals that ownership rests on, all derived from the platform's settings.
@@ -60,14 +60,15 @@
    * seizure, are themselves over a worker's lease after the last such renewal: then the count
    * begins anew.
    */
-  public Past afterMove(Past before, long nowMs, boolean seized) {
+  public OwnershipHistory afterMove(OwnershipHistory before, long nowMs, boolean seized) {
     double over = Math.max(unknowingS, graceS) + goneAfterAnswerS + clocksS;
     boolean anew = nowMs - before.unknownMs() > over * 1000;
-    return new Past(anew ? nowMs : before.unknownMs(), seized ? nowMs : before.seizedMs());
+    return new OwnershipHistory(
+        anew ? nowMs : before.unknownMs(), seized ? nowMs : before.seizedMs());
   }
 
   /** Whether an owner that has not read its entity's rows yet may renew workers' leases. */
-  public boolean mayRenewUnknowing(Past past, long nowMs) {
+  public boolean mayRenewUnknowing(OwnershipHistory past, long nowMs) {
     return nowMs - past.unknownMs() < unknowingS * 1000;
   }
 
@@ -75,7 +76,7 @@
    * From now until what a machine may have held for any former owner is gone, as far as that owner
    * lost the entity by a seizure: one that was handed on since is still in its grace.
    */
-  public double goneAfterLastSeizureS(Past past, long nowMs) {
+  public double goneAfterLastSeizureS(OwnershipHistory past, long nowMs) {
     return (past.seizedMs() - nowMs) / 1000.0 + clocksS + goneAfterSeizureS();
   }
 }
--- a/src/main/java/io/violetrail/peer/Peers.java
+++ b/src/main/java/io/violetrail/peer/Peers.java
@@ -15,7 +15,7 @@
 import io.violetrail.net.Http;
 import io.violetrail.net.Service;
 import io.violetrail.node.Node;
-import io.violetrail.ownership.Holding;
+import io.violetrail.ownership.OwnedEntity;
 import io.violetrail.state.StateStore.Unavailable;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -236,7 +236,7 @@
   }
 
   /** Tells all peers of one entity that is held here. */
-  public void announce(Holding h) {
+  public void announce(OwnedEntity h) {
     Question q =
         new Question(
             Kind.MOVED, node.settings.self().value(), h.entity().value(), h.row.version().value());
@@ -304,7 +304,7 @@
         r -> done.accept(new Answer(200, bytes(r), 0, "application/octet-stream"));
     switch (q.kind()) {
       case VIEW -> reply.accept(views(q.subject()));
-      case HEARS -> reply.accept(node.hearing.hears() ? Reply.YES : Reply.UNKNOWN);
+      case HEARS -> reply.accept(node.reachability.hears() ? Reply.YES : Reply.UNKNOWN);
       case BUDGET -> reply.accept(Reply.of(lending.lend(q.number())));
       case CONFIGURATION -> {
         ConfigurationState state = node.configuration.state();
@@ -312,7 +312,7 @@
       }
       case CANCEL -> cancel(new JobId(q.subject()), reply);
       case HAND_BACK -> {
-        Holding h = node.membership.holding(new ControllerId(q.subject()));
+        OwnedEntity h = node.membership.holding(new ControllerId(q.subject()));
         if (h != null && q.subject().equals(q.from())) {
           node.membership.release(h, new ControllerId(q.from()));
         }
@@ -350,7 +350,7 @@
 
   private void cancel(JobId id, Consumer<Reply> reply) {
     JobView view = node.jobs.terminalView(id);
-    Holding h = node.holdingOf(id);
+    OwnedEntity h = node.holdingOf(id);
     if (view != null) {
       reply.accept(Reply.of(view));
     } else if (h == null || !node.membership.valid()) {
--- a/src/main/java/io/violetrail/scheduling/Dispatcher.java
+++ b/src/main/java/io/violetrail/scheduling/Dispatcher.java
@@ -7,8 +7,8 @@
 import io.violetrail.model.Shape;
 import io.violetrail.net.Soon;
 import io.violetrail.node.Node;
-import io.violetrail.ownership.Holding;
-import io.violetrail.wire.BeatWire.Why;
+import io.violetrail.ownership.OwnedEntity;
+import io.violetrail.wire.HeartbeatMessages.ExitCause;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -41,7 +41,7 @@
   private final Node node;
   private final Preemption preemption;
   private final Placer placer;
-  private final Map<Holding, Waiting> waiting = new HashMap<>();
+  private final Map<OwnedEntity, Waiting> waiting = new HashMap<>();
   private final Aims aims;
 
   /** Machines with new placements whose workers may be waiting. */
@@ -54,7 +54,7 @@
     this.node = node;
     this.aims = new Aims(node.configuration);
     this.next = new Soon(node.loop, this::pass);
-    this.preemption = new Preemption(node.halts::halted);
+    this.preemption = new Preemption(node.taskStopper::halted);
     this.placer = new Placer(aims, node.estimates, node.random, node.options.sample());
   }
 
@@ -72,7 +72,7 @@
       return;
     }
     double began = node.loop.seconds();
-    for (Holding h : node.membership.holdings()) {
+    for (OwnedEntity h : node.membership.holdings()) {
       if (h.active()) {
         place(h);
       }
@@ -85,7 +85,7 @@
   private void tick() {
     double now = node.loop.seconds();
     waiting.keySet().retainAll(node.membership.holdings());
-    for (Holding h : node.membership.holdings()) {
+    for (OwnedEntity h : node.membership.holdings()) {
       if (h.active()) {
         for (Machine m : List.copyOf(h.machines.values())) {
           watch(h, m, now);
@@ -105,7 +105,7 @@
   /**
    * Notices silence: first nothing more is placed, and after the worker's lease its tasks are gone.
    */
-  private void watch(Holding h, Machine m, double now) {
+  private void watch(OwnedEntity h, Machine m, double now) {
     if (!m.row.up()) {
       return;
     }
@@ -140,7 +140,7 @@
   }
 
   /** A gang that has lost a task cannot go on: the rest is stopped, so that it can start anew. */
-  private void mendGang(Holding h, Job job, double now) {
+  private void mendGang(OwnedEntity h, Job job, double now) {
     if (job.spec.shape() != Shape.GANG || job.nothingPlaced() || job.unplaced() == 0) {
       return;
     }
@@ -155,7 +155,7 @@
       } else {
         p.halt(0);
         // The sooner the rest is gone, the sooner it starts anew.
-        node.halts.halted(p);
+        node.taskStopper.halted(p);
       }
     }
   }
@@ -179,7 +179,7 @@
   }
 
   /** A task has ended without being done. */
-  public void failed(Holding h, Machine m, Placement p, Why why) {
+  public void failed(OwnedEntity h, Machine m, Placement p, ExitCause why) {
     double now = node.loop.seconds();
     Job job = p.job;
     int index = p.index;
@@ -199,14 +199,14 @@
   }
 
   /** Jobs with tasks that wait, the most urgent first. */
-  public List<Job> order(Holding h) {
+  public List<Job> order(OwnedEntity h) {
     return waiting
         .computeIfAbsent(h, x -> new Waiting(x, aims, node.estimates))
         .order(node.loop.seconds());
   }
 
   /** A job has come, or tasks of one wait again. */
-  public void changed(Holding h) {
+  public void changed(OwnedEntity h) {
     Waiting w = waiting.get(h);
     if (w != null) {
       w.changed();
@@ -225,7 +225,7 @@
   }
 
   /** Stops spare work on a machine that others need, and keeps it away for a while. */
-  public void clear(Holding h, Machine m) {
+  public void clear(OwnedEntity h, Machine m) {
     double now = node.loop.seconds();
     if (now < m.clearedUntilS) {
       return;
@@ -240,7 +240,7 @@
   }
 
   /** Stops all that runs on a machine and starts nothing there for a while. */
-  public void evict(Holding h, Machine m, double forS) {
+  public void evict(OwnedEntity h, Machine m, double forS) {
     double now = node.loop.seconds();
     double grace = 0;
     for (Placement p : List.copyOf(m.tasks().values())) {
@@ -265,7 +265,7 @@
   }
 
   /** Finds places for what waits in an entity. */
-  private void place(Holding h) {
+  private void place(OwnedEntity h) {
     List<Job> order = order(h);
     if (order.isEmpty()) {
       return;
@@ -296,7 +296,7 @@
   }
 
   /** Fills what has become free on a machine, for the answer to its report. */
-  public void fill(Holding h, Machine m) {
+  public void fill(OwnedEntity h, Machine m) {
     double now = node.loop.seconds();
     if (!m.open() || !node.configuration.fresh()) {
       return;
@@ -336,7 +336,7 @@
   private void tellWaiting() {
     List<MachineId> all = List.copyOf(given);
     given.clear();
-    all.forEach(node.beats::answer);
+    all.forEach(node.heartbeats::answer);
   }
 
   private static boolean startable(Job job, boolean uncertain, double now) {
@@ -344,12 +344,12 @@
   }
 
   /** What is left of the entity's slice of a team's limit. */
-  public Amounts quota(Holding h, String team, double now) {
+  public Amounts quota(OwnedEntity h, String team, double now) {
     return node.quotas.free(h, team, now);
   }
 
   private Amounts placeTasks(
-      Holding h, Job job, Collection<Machine> open, Amounts quota, double now) {
+      OwnedEntity h, Job job, Collection<Machine> open, Amounts quota, double now) {
     Amounts task = job.spec.task();
     Map<String, Integer> perZone = Placer.perZone(job);
     boolean zones = job.spec.oneZone() || job.spec.spread();
@@ -386,7 +386,7 @@
   }
 
   /** Nothing that runs well is stopped for a job that fails wherever it goes. */
-  private void makeRoom(Holding h, Job job, double now) {
+  private void makeRoom(OwnedEntity h, Job job, double now) {
     if (!job.trial.suspect() && !(Placer.singly(job) && displace(h, job, now))) {
       preemption.makeRoom(h, job, now);
     }
@@ -396,7 +396,7 @@
    * Clears spare work from machines that then hold what waits of the job, all at once: it is there
    * on sufferance, and one task a second would be too slow.
    */
-  private boolean displace(Holding h, Job job, double now) {
+  private boolean displace(OwnedEntity h, Job job, double now) {
     if (job.spareWork || !h.placedBelow(job.spec.priority())) {
       return false;
     }
@@ -416,7 +416,7 @@
 
   /** All of a gang's tasks get their places at once, or none does. */
   private Amounts placeGang(
-      Holding h, Job job, Collection<Machine> open, Amounts quota, double now) {
+      OwnedEntity h, Job job, Collection<Machine> open, Amounts quota, double now) {
     Amounts all = job.spec.task().times(job.spec.tasks());
     if (!job.nothingPlaced() || !all.fitsIn(quota)) {
       return Amounts.NONE;
--- a/src/main/java/io/violetrail/scheduling/Placement.java
+++ b/src/main/java/io/violetrail/scheduling/Placement.java
@@ -2,7 +2,7 @@
 
 import io.violetrail.fleet.Machine;
 import io.violetrail.model.TaskId;
-import io.violetrail.wire.BeatWire.State;
+import io.violetrail.wire.HeartbeatMessages.State;
 
 /** A task's place on a machine, from the decision until there is evidence that it is gone. */
 public final class Placement {
--- a/src/main/java/io/violetrail/scheduling/Preemption.java
+++ b/src/main/java/io/violetrail/scheduling/Preemption.java
@@ -3,7 +3,7 @@
 import io.violetrail.fleet.Machine;
 import io.violetrail.model.Amounts;
 import io.violetrail.model.Shape;
-import io.violetrail.ownership.Holding;
+import io.violetrail.ownership.OwnedEntity;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -42,7 +42,7 @@
    * since gangs that hold parts of each other's room would all wait. The job is placed once the
    * stopped tasks are gone; until then the room is reserved for it.
    */
-  void makeRoom(Holding h, Job job, double now) {
+  void makeRoom(OwnedEntity h, Job job, double now) {
     if (now < job.makeRoomS || !h.placedBelow(job.spec.priority())) {
       return;
     }
@@ -92,7 +92,7 @@
     return held >= tasks ? chosen : List.of();
   }
 
-  private void take(Holding h, Job job, List<Offer> offers, double now) {
+  private void take(OwnedEntity h, Job job, List<Offer> offers, double now) {
     double grace = 0;
     int stopped = 0;
     for (Offer o : offers) {
@@ -110,7 +110,7 @@
   }
 
   /** Stops a task, letting it save if it can; returns how long that may take. */
-  double stop(Holding h, Placement p, double now) {
+  double stop(OwnedEntity h, Placement p, double now) {
     double save = p.job.spec.checkpointS() > 0 ? p.job.spec.saveS() : 0;
     if (p.job.spec.shape() == Shape.GANG) {
       for (Placement q : p.job.placements()) {
--- a/src/main/java/io/violetrail/scheduling/Waiting.java
+++ b/src/main/java/io/violetrail/scheduling/Waiting.java
@@ -3,7 +3,7 @@
 import io.violetrail.fleet.Machine;
 import io.violetrail.model.Amounts;
 import io.violetrail.model.Shape;
-import io.violetrail.ownership.Holding;
+import io.violetrail.ownership.OwnedEntity;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -25,13 +25,13 @@
    */
   private static final double LONGEST_S = 180;
 
-  private final Holding h;
+  private final OwnedEntity h;
   private final Aims aims;
   private final Estimates estimates;
   private List<Job> order = List.of();
   private double orderedS = Double.NEGATIVE_INFINITY;
 
-  Waiting(Holding h, Aims aims, Estimates estimates) {
+  Waiting(OwnedEntity h, Aims aims, Estimates estimates) {
     this.h = h;
     this.aims = aims;
     this.estimates = estimates;
--- a/src/main/java/io/violetrail/wire/BeatWire.java
+++ b/src/main/java/io/violetrail/wire/HeartbeatMessages.java
@@ -13,11 +13,11 @@
 import java.util.Set;
 
 /** The workers' messages. */
-public final class BeatWire {
-  private BeatWire() {}
+public final class HeartbeatMessages {
+  private HeartbeatMessages() {}
 
   /** A worker's report. {@code noticeS} is null without a spot notice. */
-  public record Beat(
+  public record WorkerReport(
       MachineId machine,
       String endpoint,
       String type,
@@ -27,7 +27,7 @@
       long seq,
       Version token,
       Double noticeS,
-      List<Piece> pieces) {
+      List<TaskReport> pieces) {
     /** Whether any task of the report may still be on the machine. */
     public boolean holdsTasks() {
       return pieces.stream().anyMatch(p -> p.state() != State.EXITED);
@@ -39,7 +39,7 @@
   }
 
   /** One task as a worker sees it. {@code why} is null unless it has ended. */
-  public record Piece(TaskId task, long attempt, State state, Why why, boolean saved) {}
+  public record TaskReport(TaskId task, long attempt, State state, ExitCause why, boolean saved) {}
 
   /** A task's state on its machine. */
   public enum State {
@@ -51,7 +51,7 @@
   }
 
   /** Why a task ended. */
-  public enum Why {
+  public enum ExitCause {
     DONE,
     STOPPED,
     PEERS_GONE,
@@ -63,7 +63,7 @@
   }
 
   /** A command. */
-  public record Order(Verb verb, TaskId task, long attempt, double graceS) {
+  public record Command(Verb verb, TaskId task, long attempt, double graceS) {
     /** What a worker can be told. */
     public enum Verb {
       LAUNCH,
@@ -84,24 +84,24 @@
           State.SAVING,
           "ended",
           State.EXITED);
-  private static final Map<String, Why> WHYS =
+  private static final Map<String, ExitCause> WHYS =
       Map.of(
           "done",
-          Why.DONE,
+          ExitCause.DONE,
           "halted",
-          Why.STOPPED,
+          ExitCause.STOPPED,
           "mates_gone",
-          Why.PEERS_GONE,
+          ExitCause.PEERS_GONE,
           "incomplete",
-          Why.INCOMPLETE,
+          ExitCause.INCOMPLETE,
           "error",
-          Why.ERROR,
+          ExitCause.ERROR,
           "no_room",
-          Why.NO_ROOM,
+          ExitCause.NO_ROOM,
           "in_use",
-          Why.BUSY,
+          ExitCause.BUSY,
           "unknown",
-          Why.UNKNOWN);
+          ExitCause.UNKNOWN);
 
   /**
    * Sessions, reports, terms and attempts are far below this on any machine. A report with a
@@ -110,8 +110,8 @@
    */
   private static final long MOST = 1L << 53;
 
-  public static Beat beat(JsonNode m) throws Malformed {
-    List<Piece> pieces = new ArrayList<>();
+  public static WorkerReport beat(JsonNode m) throws Malformed {
+    List<TaskReport> pieces = new ArrayList<>();
     Set<String> seen = new HashSet<>();
     JsonNode list = Cbor.present(m, "pieces");
     if (list != null && !list.isArray()) {
@@ -119,7 +119,7 @@
     }
     if (list != null) {
       for (JsonNode p : list) {
-        Piece piece = piece(p);
+        TaskReport piece = piece(p);
         if (!seen.add(piece.task() + " " + piece.attempt())) {
           throw new Malformed("an attempt stands twice in the report");
         }
@@ -128,7 +128,7 @@
     }
     Double notice =
         Cbor.present(m, "warning_s") == null ? null : (Double) m.get("warning_s").asDouble();
-    return new Beat(
+    return new WorkerReport(
         new MachineId(Cbor.text(m, "host")),
         Cbor.textOr(m, "endpoint", ""),
         Cbor.text(m, "hosttype"),
@@ -158,25 +158,25 @@
     return value;
   }
 
-  private static Piece piece(JsonNode p) throws Malformed {
+  private static TaskReport piece(JsonNode p) throws Malformed {
     TaskId task = TaskId.parse(Cbor.text(p, "piece"));
     State state = STATES.get(Cbor.text(p, "status"));
     if (task == null || state == null) {
       throw new Malformed("a task of the report is unclear");
     }
-    Why why =
+    ExitCause why =
         state == State.EXITED
-            ? WHYS.getOrDefault(Cbor.textOr(p, "cause", "error"), Why.ERROR)
+            ? WHYS.getOrDefault(Cbor.textOr(p, "cause", "error"), ExitCause.ERROR)
             : null;
     JsonNode kept = Cbor.present(p, "kept");
-    return new Piece(task, count(p, "try"), state, why, kept != null && kept.asBoolean());
+    return new TaskReport(task, count(p, "try"), state, why, kept != null && kept.asBoolean());
   }
 
   /** Commands under a token; in an answer to a report this renews the worker's lease. */
-  public static ObjectNode reply(Version token, List<Order> orders) {
+  public static ObjectNode reply(Version token, List<Command> orders) {
     ObjectNode m = Cbor.map().put("baton", token.requireToken().value());
     var list = m.putArray("orders");
-    for (Order o : orders) {
+    for (Command o : orders) {
       var node = list.addObject();
       node.put(
           "verb",
@@ -186,7 +186,7 @@
             case FORGET -> "forget";
           });
       node.put("piece", o.task().toString()).put("try", o.attempt());
-      if (o.verb() == Order.Verb.HALT) {
+      if (o.verb() == Command.Verb.HALT) {
         node.put("wind_down_s", o.graceS());
       }
     }
--- a/src/main/java/io/violetrail/worker/Beats.java
+++ b/src/main/java/io/violetrail/worker/HeartbeatHandler.java
@@ -13,21 +13,21 @@
 import io.violetrail.model.Version;
 import io.violetrail.net.Service.Answer;
 import io.violetrail.node.Node;
-import io.violetrail.ownership.Holding;
+import io.violetrail.ownership.OwnedEntity;
 import io.violetrail.ownership.Rows.MachineRow;
 import io.violetrail.ownership.Timing;
 import io.violetrail.scheduling.Blame;
 import io.violetrail.scheduling.Job;
 import io.violetrail.scheduling.Placement;
-import io.violetrail.wire.BeatWire;
-import io.violetrail.wire.BeatWire.Beat;
-import io.violetrail.wire.BeatWire.Order;
-import io.violetrail.wire.BeatWire.Order.Verb;
-import io.violetrail.wire.BeatWire.Piece;
-import io.violetrail.wire.BeatWire.State;
-import io.violetrail.wire.BeatWire.Why;
 import io.violetrail.wire.Cbor;
 import io.violetrail.wire.Cbor.Malformed;
+import io.violetrail.wire.HeartbeatMessages;
+import io.violetrail.wire.HeartbeatMessages.Command;
+import io.violetrail.wire.HeartbeatMessages.Command.Verb;
+import io.violetrail.wire.HeartbeatMessages.ExitCause;
+import io.violetrail.wire.HeartbeatMessages.State;
+import io.violetrail.wire.HeartbeatMessages.TaskReport;
+import io.violetrail.wire.HeartbeatMessages.WorkerReport;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -45,8 +45,8 @@
  * <p>Launches travel in answers only. A worker has one report in flight and drops late answers, so
  * its next report always shows whether a launch was taken: nothing is launched late.
  */
-public final class Beats {
-  private static final Logger LOG = LoggerFactory.getLogger(Beats.class);
+public final class HeartbeatHandler {
+  private static final Logger LOG = LoggerFactory.getLogger(HeartbeatHandler.class);
 
   /** Keeps an answer below the protocol's 64 KiB. */
   private static final int MAX_ORDERS = 400;
@@ -73,20 +73,20 @@
       CacheBuilder.newBuilder().maximumSize(MAX_SENT_AWAY).build();
 
   private final double startedS;
-  private final Parked parked;
-  private final Newest newest = new Newest();
+  private final LongPolls parked;
+  private final ReportSequence newest = new ReportSequence();
 
-  public Beats(Node node, Jobs jobs) {
+  public HeartbeatHandler(Node node, Jobs jobs) {
     this.node = node;
     this.jobs = jobs;
     this.startedS = node.loop.seconds();
-    this.parked = new Parked(node.loop, node.settings.workers().reportS());
+    this.parked = new LongPolls(node.loop, node.settings.workers().reportS());
   }
 
   public void handle(byte[] body, Consumer<Answer> done) {
-    Beat beat;
+    WorkerReport beat;
     try {
-      beat = BeatWire.beat(Cbor.parse(body));
+      beat = HeartbeatMessages.beat(Cbor.parse(body));
     } catch (Malformed e) {
       done.accept(Answer.error(400, e.getMessage()));
       return;
@@ -95,8 +95,8 @@
       done.accept(stay(beat));
       return;
     }
-    node.hearing.heard(beat);
-    Parked.Report before = parked.take(beat.machine());
+    node.reachability.heard(beat);
+    LongPolls.Report before = parked.take(beat.machine());
     if (before != null) {
       // Its worker has given that one up.
       before.done().accept(Answer.later("a newer report is here"));
@@ -104,7 +104,7 @@
     if (node.gone.contains(beat.machine())) {
       // Taken back for certain, though its record still stands: a report that was held back brought
       // the machine into use again, with tasks that had been started elsewhere since.
-      done.accept(Answer.of(421, BeatWire.elsewhere(null)));
+      done.accept(Answer.of(421, HeartbeatMessages.elsewhere(null)));
       return;
     }
     MachineRow row = node.directory.machine(beat.machine());
@@ -112,8 +112,8 @@
       adopt(beat, done);
       return;
     }
-    Holding holding = node.membership.holding(row.entity());
-    if (holding == null || holding.phase == Holding.Phase.RELEASING) {
+    OwnedEntity holding = node.membership.holding(row.entity());
+    if (holding == null || holding.phase == OwnedEntity.Phase.RELEASING) {
       done.accept(elsewhere(row, holding, beat));
       return;
     }
@@ -128,7 +128,7 @@
       done.accept(renew(holding, token, beat, List.of()));
       return;
     }
-    List<Order> orders = new ArrayList<>();
+    List<Command> orders = new ArrayList<>();
     Answer now = report(holding, machine, beat, orders);
     if (mayWait(holding, machine, beat, orders)) {
       parked.park(machine, beat, orders, done, () -> answer(machine.id()));
@@ -146,21 +146,23 @@
    * tasks are sure of their lease; the others are for {@link Timing#unknowingS} at most, and stay
    * here while theirs run on.
    */
-  private Answer renew(Holding h, Version token, Beat beat, List<Order> orders) {
+  private Answer renew(OwnedEntity h, Version token, WorkerReport beat, List<Command> orders) {
     if (!h.active()) {
       return beat.holdsTasks() && !node.membership.mayRenewUnknowing(h)
           ? stay(beat)
-          : Answer.of(200, BeatWire.reply(token, List.of()));
+          : Answer.of(200, HeartbeatMessages.reply(token, List.of()));
     }
-    Set<Order> all = new LinkedHashSet<>();
-    for (Piece p : beat.pieces()) {
+    Set<Command> all = new LinkedHashSet<>();
+    for (TaskReport p : beat.pieces()) {
       if (p.state() != State.EXITED && jobs.over(h, p.task().job())) {
-        all.add(new Order(Verb.HALT, p.task(), p.attempt(), 0));
+        all.add(new Command(Verb.HALT, p.task(), p.attempt(), 0));
       }
     }
     all.addAll(orders);
     return Answer.of(
-        200, BeatWire.reply(token, List.copyOf(all).subList(0, Math.min(MAX_ORDERS, all.size()))));
+        200,
+        HeartbeatMessages.reply(
+            token, List.copyOf(all).subList(0, Math.min(MAX_ORDERS, all.size()))));
   }
 
   /**
@@ -168,17 +170,17 @@
    * worker's. There is none for a worker that has seen no token: with tasks, which only programs
    * that gave out version 0 can have started there, it is refused and tries the next controller.
    */
-  private static Answer stay(Beat beat) {
+  private static Answer stay(WorkerReport beat) {
     return beat.token().equals(Version.NONE) && beat.holdsTasks()
         ? Answer.later("no owner is known")
-        : Answer.of(200, BeatWire.stay());
+        : Answer.of(200, HeartbeatMessages.stay());
   }
 
   /**
    * Whether the worker has nothing to run and nothing to learn but what it may forget, or room was
    * made there for a job that waits for other machines: then the answer waits for what is to start.
    */
-  private boolean mayWait(Holding holding, Machine m, Beat beat, List<Order> orders) {
+  private boolean mayWait(OwnedEntity holding, Machine m, WorkerReport beat, List<Command> orders) {
     return holding.active()
         && node.membership.valid()
         && m.open()
@@ -199,14 +201,14 @@
 
   /** Answers a report that was kept open, if there is one, with what there is to do by now. */
   public void answer(MachineId id) {
-    Parked.Report r = parked.take(id);
+    LongPolls.Report r = parked.take(id);
     if (r == null) {
       return;
     }
     MachineRow row = node.directory.machine(id);
-    Holding holding = row == null ? null : node.membership.holding(row.entity());
+    OwnedEntity holding = row == null ? null : node.membership.holding(row.entity());
     Machine m = r.machine();
-    if (row != null && (holding == null || holding.phase == Holding.Phase.RELEASING)) {
+    if (row != null && (holding == null || holding.phase == OwnedEntity.Phase.RELEASING)) {
       r.done().accept(elsewhere(row, holding, r.beat()));
     } else if (holding == null
         || holding.machines.get(id) != m
@@ -216,7 +218,7 @@
       // The worker counts its lease from the report's sending; this is later, so on the safe side.
       double now = node.loop.seconds();
       m.answeredS = now;
-      List<Order> orders = new ArrayList<>(r.first());
+      List<Command> orders = new ArrayList<>(r.first());
       boolean newest = m.session == r.beat().session() && m.seq == r.beat().seq();
       if (newest && node.membership.valid() && holding.active()) {
         command(m, now, orders);
@@ -226,7 +228,7 @@
   }
 
   /** Sends a worker to its machine's owner, or lets it stay until there is one. */
-  private Answer elsewhere(MachineRow row, Holding holding, Beat beat) {
+  private Answer elsewhere(MachineRow row, OwnedEntity holding, WorkerReport beat) {
     ControllerId owner = node.directory.ownerOf(row.entity());
     boolean elsewhere =
         owner != null && !owner.equals(node.settings.self()) && node.directory.isAlive(owner);
@@ -237,7 +239,7 @@
         holding == null && node.membership.valid() && (!elsewhere || backSoon(row.id()));
     return orphan
         ? stay(beat)
-        : Answer.of(421, BeatWire.elsewhere(elsewhere ? owner.value() : null));
+        : Answer.of(421, HeartbeatMessages.elsewhere(elsewhere ? owner.value() : null));
   }
 
   /**
@@ -258,14 +260,14 @@
   }
 
   /** A machine that no entity knows: taken into this controller's entity by a conditional write. */
-  private void adopt(Beat beat, Consumer<Answer> done) {
-    Holding own = node.membership.own();
+  private void adopt(WorkerReport beat, Consumer<Answer> done) {
+    OwnedEntity own = node.membership.own();
     if (own == null
         || !own.active()
         || !node.membership.valid()
         || node.directory.wasReturned(beat.machine())
         || node.type(beat.type()) == null) {
-      done.accept(Answer.of(421, BeatWire.elsewhere(null)));
+      done.accept(Answer.of(421, HeartbeatMessages.elsewhere(null)));
       return;
     }
     if (justBooted(beat)) {
@@ -290,7 +292,7 @@
         .whenComplete(
             (stored, failure) -> {
               if (failure != null) {
-                done.accept(Answer.of(421, BeatWire.elsewhere(null)));
+                done.accept(Answer.of(421, HeartbeatMessages.elsewhere(null)));
                 return;
               }
               LOG.info("machine {} adopted by entity {} version {}", row.id(), own.entity(), term);
@@ -303,7 +305,7 @@
    * are up within a second or two. Adopted at once by whoever heard it first, it was missing where
    * it had been rented, and another was rented in its place.
    */
-  private boolean justBooted(Beat beat) {
+  private boolean justBooted(WorkerReport beat) {
     double now = node.loop.seconds();
     if (beat.session() > 1 || !beat.pieces().isEmpty() || now - startedS < SETTLED_S) {
       return false;
@@ -316,20 +318,21 @@
     return now - first < RECORDED_S;
   }
 
-  private void handleAgain(Holding holding, MachineRow row, Beat beat, Consumer<Answer> done) {
+  private void handleAgain(
+      OwnedEntity holding, MachineRow row, WorkerReport beat, Consumer<Answer> done) {
     Machine machine =
         holding.active() && node.membership.valid() ? node.machine(holding, row) : null;
     done.accept(
         machine == null
-            ? Answer.of(421, BeatWire.elsewhere(null))
+            ? Answer.of(421, HeartbeatMessages.elsewhere(null))
             : report(holding, machine, beat, new ArrayList<>()));
   }
 
-  private Answer report(Holding holding, Machine m, Beat beat, List<Order> orders) {
+  private Answer report(OwnedEntity holding, Machine m, WorkerReport beat, List<Command> orders) {
     Version token = holding.token(m);
     if (beat.token().compareTo(token) > 0) {
       node.raiseTerm(holding, m, beat.token());
-      return Answer.of(421, BeatWire.elsewhere(null));
+      return Answer.of(421, HeartbeatMessages.elsewhere(null));
     }
     if (!beat.newerThan(m.session, m.seq)) {
       return stay(beat);
@@ -348,7 +351,7 @@
       if (!m.heard && m.uncertain(now)) {
         m.unheardGoneS = Math.max(m.unheardGoneS, now + node.timing.goneAfterAnswerS());
       }
-      List<Order> first = new ArrayList<>();
+      List<Command> first = new ArrayList<>();
       if (m.heard && m.session == 0 && node.membership.valid() && holding.active()) {
         // Passed over empty: it can be given its first tasks before it has seen its new term.
         m.session = beat.session();
@@ -383,10 +386,11 @@
   }
 
   /** Brings the picture of a machine in line with its newest report. */
-  private void take(Holding holding, Machine m, Beat beat, double now, List<Order> orders) {
+  private void take(
+      OwnedEntity holding, Machine m, WorkerReport beat, double now, List<Command> orders) {
     Set<TaskId> present = new HashSet<>();
     Map<TaskId, Amounts> strays = new HashMap<>();
-    for (Piece piece : beat.pieces()) {
+    for (TaskReport piece : beat.pieces()) {
       Job job = holding.jobs.get(piece.task().job());
       if (job == null || piece.task().index() >= job.spec.tasks()) {
         stray(holding, m, piece, strays, orders);
@@ -396,7 +400,7 @@
         present.add(piece.task());
         if (!active(holding, m, job, piece, now)) {
           strays.put(piece.task(), job.spec.task());
-          orders.add(new Order(Verb.HALT, piece.task(), piece.attempt(), 0));
+          orders.add(new Command(Verb.HALT, piece.task(), piece.attempt(), 0));
         }
       }
     }
@@ -412,7 +416,7 @@
   }
 
   /** False if the task is known to be on another machine. */
-  private boolean active(Holding holding, Machine m, Job job, Piece piece, double now) {
+  private boolean active(OwnedEntity holding, Machine m, Job job, TaskReport piece, double now) {
     int index = piece.task().index();
     Placement p = m.task(piece.task());
     if (p != null && p.attempt != piece.attempt() && p.revocable()) {
@@ -448,58 +452,62 @@
   }
 
   private void exited(
-      Holding holding, Machine m, Job job, Piece piece, double now, List<Order> orders) {
+      OwnedEntity holding, Machine m, Job job, TaskReport piece, double now, List<Command> orders) {
     int index = piece.task().index();
     Placement p = m.task(piece.task());
     boolean current = p != null && p.attempt == piece.attempt() && !p.revocable();
     // A replica is never done: one that ends is started again.
-    boolean done = piece.why() == Why.DONE && job.spec.shape() != Shape.SERVICE;
+    boolean done = piece.why() == ExitCause.DONE && job.spec.shape() != Shape.SERVICE;
     if (done && !job.isDone(index)) {
       job.markDone(index);
       Blame.endedWell(m, job);
       m.images.add(job.spec.image());
     }
     if (current) {
-      if (piece.why() == Why.DONE && p.runningS > 0 && p.haltGraceS < 0) {
+      if (piece.why() == ExitCause.DONE && p.runningS > 0 && p.haltGraceS < 0) {
         node.estimates.learn(job.spec, now - p.runningS);
       }
       holding.unplace(p, now);
-      if (piece.why() != Why.DONE) {
+      if (piece.why() != ExitCause.DONE) {
         node.dispatcher.failed(holding, m, p, piece.why());
       }
     }
     if (job.isDone(index)) {
       jobs.progressed(holding, job);
-      if (piece.why() == Why.DONE && !job.stored.get(index) && job.phase != Job.Phase.OVER) {
+      if (piece.why() == ExitCause.DONE && !job.stored.get(index) && job.phase != Job.Phase.OVER) {
         return;
       }
     }
-    orders.add(new Order(Verb.FORGET, piece.task(), piece.attempt(), 0));
+    orders.add(new Command(Verb.FORGET, piece.task(), piece.attempt(), 0));
   }
 
   /** A task of a job that is over, or that this owner has not loaded. */
   private void stray(
-      Holding holding, Machine m, Piece piece, Map<TaskId, Amounts> strays, List<Order> orders) {
+      OwnedEntity holding,
+      Machine m,
+      TaskReport piece,
+      Map<TaskId, Amounts> strays,
+      List<Command> orders) {
     Jobs.Known known = jobs.known(holding, piece.task().job());
     if (piece.state() != State.EXITED) {
       // Its halt goes with whatever renews the lease.
       strays.put(piece.task(), known == null ? m.type.size() : known.amounts());
     } else if (known != null) {
-      orders.add(new Order(Verb.FORGET, piece.task(), piece.attempt(), 0));
+      orders.add(new Command(Verb.FORGET, piece.task(), piece.attempt(), 0));
     }
   }
 
-  private void command(Machine m, double now, List<Order> orders) {
+  private void command(Machine m, double now, List<Command> orders) {
     for (Placement p : m.tasks().values()) {
       if (p.revocable()) {
         if (m.open() && orders.size() < MAX_ORDERS && node.configuration.fresh()) {
-          orders.add(new Order(Verb.LAUNCH, p.task(), p.attempt, 0));
+          orders.add(new Command(Verb.LAUNCH, p.task(), p.attempt, 0));
           p.sent = new Placement.Sent(m.session, m.seq);
           LOG.debug("task {} try {} launched on {}", p.task(), p.attempt, m.id());
           node.traces.launched(p.job.spec.id(), m.id());
         }
       } else if (p.haltGraceS >= 0 && (p.state != State.SAVING || p.haltGraceS == 0)) {
-        orders.add(new Order(Verb.HALT, p.task(), p.attempt, p.haltGraceS));
+        orders.add(new Command(Verb.HALT, p.task(), p.attempt, p.haltGraceS));
       }
     }
   }
--- a/src/main/java/io/violetrail/worker/Parked.java
+++ b/src/main/java/io/violetrail/worker/LongPolls.java
@@ -4,8 +4,8 @@
 import io.violetrail.model.MachineId;
 import io.violetrail.net.Loop;
 import io.violetrail.net.Service.Answer;
-import io.violetrail.wire.BeatWire.Beat;
-import io.violetrail.wire.BeatWire.Order;
+import io.violetrail.wire.HeartbeatMessages.Command;
+import io.violetrail.wire.HeartbeatMessages.WorkerReport;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -17,7 +17,7 @@
  * machines. So the answer to a worker that has nothing is kept open for most of the interval, and
  * given the moment that there is something to start, or that the machine passes on.
  */
-final class Parked {
+final class LongPolls {
   /** Part of the interval; the rest is left for the next report to come in time. */
   private static final double PART = 0.8;
 
@@ -27,8 +27,8 @@
   /** A report whose answer is kept open. {@code first}: commands that it carries in any case. */
   record Report(
       Machine machine,
-      Beat beat,
-      List<Order> first,
+      WorkerReport beat,
+      List<Command> first,
       Consumer<Answer> done,
       Loop.Cancellable timer) {}
 
@@ -36,13 +36,14 @@
   private final double waitS;
   private final Map<MachineId, Report> reports = new HashMap<>();
 
-  Parked(Loop loop, double reportS) {
+  LongPolls(Loop loop, double reportS) {
     this.loop = loop;
     this.waitS = Math.min(MOST_S, PART * reportS);
   }
 
   /** Keeps the answer open; {@code answer} is run when the time is over. */
-  void park(Machine m, Beat beat, List<Order> first, Consumer<Answer> done, Runnable answer) {
+  void park(
+      Machine m, WorkerReport beat, List<Command> first, Consumer<Answer> done, Runnable answer) {
     reports.put(m.id(), new Report(m, beat, first, done, loop.after(waitS, answer)));
   }
 
--- a/src/main/java/io/violetrail/worker/Newest.java
+++ b/src/main/java/io/violetrail/worker/ReportSequence.java
@@ -3,7 +3,7 @@
 import com.google.common.cache.Cache;
 import com.google.common.cache.CacheBuilder;
 import io.violetrail.model.MachineId;
-import io.violetrail.wire.BeatWire.Beat;
+import io.violetrail.wire.HeartbeatMessages.WorkerReport;
 
 /**
  * The newest report of each worker that was heard here, of whichever entity. The network may bring
@@ -11,7 +11,7 @@
  * there: a copy took the place of a report whose answer was kept open, and marked machines as heard
  * that had been silent for long.
  */
-final class Newest {
+final class ReportSequence {
   /** Some thousand machines come and go in a night; one that is forgotten is only heard again. */
   private static final int MOST = 6_000;
 
@@ -20,7 +20,7 @@
   private final Cache<MachineId, Mark> marks = CacheBuilder.newBuilder().maximumSize(MOST).build();
 
   /** Whether this report is newer than all before it; it is the newest one then. */
-  boolean take(Beat beat) {
+  boolean take(WorkerReport beat) {
     Mark before = marks.getIfPresent(beat.machine());
     if (before != null && !beat.newerThan(before.session, before.seq)) {
       return false;
--- a/src/main/java/io/violetrail/worker/Halts.java
+++ b/src/main/java/io/violetrail/worker/TaskStopper.java
@@ -3,12 +3,12 @@
 import io.violetrail.fleet.Machine;
 import io.violetrail.net.Http;
 import io.violetrail.node.Node;
-import io.violetrail.ownership.Holding;
+import io.violetrail.ownership.OwnedEntity;
 import io.violetrail.scheduling.Placement;
-import io.violetrail.wire.BeatWire;
-import io.violetrail.wire.BeatWire.Order;
-import io.violetrail.wire.BeatWire.Order.Verb;
 import io.violetrail.wire.Cbor;
+import io.violetrail.wire.HeartbeatMessages;
+import io.violetrail.wire.HeartbeatMessages.Command;
+import io.violetrail.wire.HeartbeatMessages.Command.Verb;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -24,7 +24,7 @@
  * in the answer to a report, and be executed minutes late; but it names the attempt, which was to
  * end anyway, so a late one stops nothing else. Launches never travel this way.
  */
-public final class Halts {
+public final class TaskStopper {
   private static final double TIMEOUT_S = 2;
 
   /** Commands under way; beyond that the answers to reports must do. */
@@ -49,7 +49,7 @@
   private int underWay;
   private int underWayToSilent;
 
-  public Halts(Node node, Http http) {
+  public TaskStopper(Node node, Http http) {
     this.node = node;
     this.http = http;
   }
@@ -116,12 +116,12 @@
 
   /** {@code done} is run in any case. */
   private void send(Machine m, List<Placement> stopped, Runnable done) {
-    Holding h = node.membership.holding(m.row.entity());
+    OwnedEntity h = node.membership.holding(m.row.entity());
     boolean mine = h != null && h.active() && h.machines.get(m.id()) == m;
-    List<Order> orders = new ArrayList<>();
+    List<Command> orders = new ArrayList<>();
     for (Placement p : stopped) {
       if (m.task(p.task()) == p) {
-        orders.add(new Order(Verb.HALT, p.task(), p.attempt, p.haltGraceS));
+        orders.add(new Command(Verb.HALT, p.task(), p.attempt, p.haltGraceS));
       }
     }
     if (!mine
@@ -132,7 +132,7 @@
       done.run();
       return;
     }
-    byte[] body = Cbor.bytes(BeatWire.reply(h.token(m), orders).put("tenure", m.session));
+    byte[] body = Cbor.bytes(HeartbeatMessages.reply(h.token(m), orders).put("tenure", m.session));
     http.callOnce(m.endpoint, "POST", "/orders", body, TIMEOUT_S)
         .whenComplete((r, failure) -> done.run());
   }
--- a/src/main/java/io/violetrail/worker/Hearing.java
+++ b/src/main/java/io/violetrail/worker/WorkerReachability.java
@@ -5,8 +5,8 @@
 import io.violetrail.model.ControllerId;
 import io.violetrail.net.Http;
 import io.violetrail.node.Node;
-import io.violetrail.ownership.Holding;
-import io.violetrail.wire.BeatWire.Beat;
+import io.violetrail.ownership.OwnedEntity;
+import io.violetrail.wire.HeartbeatMessages.WorkerReport;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -20,8 +20,8 @@
  * with them. A deaf controller hands its entities to a peer that hears workers, and asks for its
  * own back only once workers answer it again, which it tries all the while.
  */
-public final class Hearing {
-  private static final Logger LOG = LoggerFactory.getLogger(Hearing.class);
+public final class WorkerReachability {
+  private static final Logger LOG = LoggerFactory.getLogger(WorkerReachability.class);
   private static final double TICK_S = 0.5;
 
   /** Workers report within a quarter more than their interval. */
@@ -56,7 +56,7 @@
   private boolean probing;
   private boolean handing;
 
-  public Hearing(Node node, Http http) {
+  public WorkerReachability(Node node, Http http) {
     this.node = node;
     this.http = http;
   }
@@ -82,7 +82,7 @@
   }
 
   /** A worker has reported, to whichever entity it belongs. */
-  void heard(Beat beat) {
+  void heard(WorkerReport beat) {
     heardS = node.loop.seconds();
     if (deaf) {
       hear("a worker reports");
@@ -129,7 +129,7 @@
   /** Nothing was heard for too long: asks the workers heard last. */
   private void suspect(double now) {
     List<HostPort> own = new ArrayList<>();
-    for (Holding h : node.membership.holdings()) {
+    for (OwnedEntity h : node.membership.holdings()) {
       for (Machine m : h.machines.values()) {
         if (h.active() && m.endpoint != null && m.row.up() && !m.returning) {
           own.add(m.endpoint);
--- a/src/test/java/io/violetrail/scheduling/UrgencyTest.java
+++ b/src/test/java/io/violetrail/scheduling/UrgencyTest.java
@@ -17,10 +17,10 @@
 import io.violetrail.model.Shape;
 import io.violetrail.model.Version;
 import io.violetrail.ownership.Directory;
-import io.violetrail.ownership.Holding;
+import io.violetrail.ownership.OwnedEntity;
 import io.violetrail.ownership.Rows.EntityRow;
 import io.violetrail.ownership.Rows.MachineRow;
-import io.violetrail.ownership.Rows.Past;
+import io.violetrail.ownership.Rows.OwnershipHistory;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -28,9 +28,11 @@
 class UrgencyTest {
   private static final MachineType TYPE =
       new MachineType("plain", new Amounts(32, 0, 64), 50, 1, 1, 0.3, 30, List.of("a"));
-  private final Holding h =
-      new Holding(
-          new EntityRow(new ControllerId("c0"), new Version(10), true, Past.NONE, 1), true, 0);
+  private final OwnedEntity h =
+      new OwnedEntity(
+          new EntityRow(new ControllerId("c0"), new Version(10), true, OwnershipHistory.NONE, 1),
+          true,
+          0);
   private final Aims aims =
       new Aims(
           configuration(
--- a/src/test/java/io/violetrail/stories/NightTest.java
+++ b/src/test/java/io/violetrail/stories/NightTest.java
@@ -310,7 +310,7 @@
     }
     world.until(60, () -> user.poll("c2", "job-1").equals("done"));
     world.until(60, () -> user.poll("c2", "job-2").equals("done"));
-    assertFalse(world.nodes.get("c0").hearing.deaf());
+    assertFalse(world.nodes.get("c0").reachability.deaf());
   }
 
   @Test
