Evidence: who kept which worker's lease, and what allowed a start elsewhere

The incident's records could not say whom the seven workers reached while their owner counted them out, nor what allowed the second starts.

- HeartbeatReply is the only way to answer a report: renewed, stay, sent elsewhere or refused; only the first one renews, and it can't be made without a token.
EvidenceLog counts them all and writes a line when a worker is answered otherwise than before, 20 lines a second at most.
- A placement ends with its proof (GoneProof); a launch of a task that was elsewhere names the place, the proof and its age.
Silence and the end of a lease say since when.
Each change of an entity or of the lease names the lease's remaining time and the revision that the rows were read as of.
- Metrics: heartbeat.replies, starts.elsewhere, leases.outlived, lease.remaining.s, rows.revision, evidence.lines.left.out.
- The fake worker ends its lease before it reports, not only with its next tick.

--- a/src/main/java/io/violetrail/api/Jobs.java
+++ b/src/main/java/io/violetrail/api/Jobs.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.cache.Cache;
 import com.google.common.cache.CacheBuilder;
+import io.violetrail.evidence.GoneProof;
 import io.violetrail.model.Amounts;
 import io.violetrail.model.ControllerId;
 import io.violetrail.model.JobId;
@@ -338,7 +339,7 @@
   private void stop(OwnedEntity h, Job job) {
     for (Placement p : job.placements()) {
       if (p.revocable()) {
-        h.unplace(p, node.loop.seconds());
+        h.unplace(p, node.loop.seconds(), GoneProof.NEVER_SENT);
       } else {
         p.halt(0);
         node.taskStopper.cancelled(p);
--- a/src/main/java/io/violetrail/api/Metrics.java
+++ b/src/main/java/io/violetrail/api/Metrics.java
@@ -5,6 +5,9 @@
 import io.micrometer.core.instrument.Tag;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.violetrail.evidence.EvidenceLog;
+import io.violetrail.evidence.GoneProof;
+import io.violetrail.evidence.ReplyKind;
 import io.violetrail.net.Service.Answer;
 import io.violetrail.node.Node;
 import io.violetrail.ownership.OwnedEntity;
@@ -13,9 +16,11 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import java.util.function.ToDoubleFunction;
 
 /** Figures for operators, as lines of text. Latencies go through HdrHistogram. */
@@ -35,6 +40,7 @@
       gauge("configuration.fresh", n -> n.configuration.fresh() ? 1 : 0);
       gauge("configuration.confirmed.ms", n -> n.configuration.state().confirmedMsAgo());
     }
+    evidence(node.evidence);
     gauge("entities.held", n -> n.membership.holdings().size());
     gauge("jobs.open", n -> sum(n, h -> h.jobs.size()));
     gauge("machines", n -> sum(n, h -> h.machines.size()));
@@ -48,6 +54,23 @@
         "tasks.waiting", n -> sum(n, h -> h.jobs.values().stream().mapToInt(Job::unplaced).sum()));
   }
 
+  private void evidence(EvidenceLog evidence) {
+    for (ReplyKind kind : ReplyKind.values()) {
+      counted("heartbeat.replies", "kind", kind.name(), () -> evidence.replies(kind));
+    }
+    for (GoneProof proof : GoneProof.values()) {
+      counted("starts.elsewhere", "proof", proof.name(), () -> evidence.startsElsewhere(proof));
+    }
+    gauge("leases.outlived", n -> n.evidence.outlivedLeases());
+    gauge("evidence.lines.left.out", n -> n.evidence.droppedLines());
+    gauge("lease.remaining.s", n -> n.membership.remainingS());
+    gauge("rows.revision", n -> n.directory.revision());
+  }
+
+  private void counted(String name, String tag, String value, Supplier<Number> count) {
+    Gauge.builder(name, count).tag(tag, value.toLowerCase(Locale.ROOT)).register(registry);
+  }
+
   private void gauge(String name, ToDoubleFunction<Node> value) {
     Gauge.builder(name, node, value).register(registry);
   }
--- a/src/main/java/io/violetrail/fleet/Machine.java
+++ b/src/main/java/io/violetrail/fleet/Machine.java
@@ -39,7 +39,7 @@
   private Amounts room;
 
   public long session;
-  public long seq;
+  public long sequence;
 
   /** Reports of earlier sessions are leftovers: those sessions' leases are surely over. */
   public long firstSession;
--- a/src/main/java/io/violetrail/fleet/QuotaTransfer.java
+++ b/src/main/java/io/violetrail/fleet/QuotaTransfer.java
@@ -4,6 +4,7 @@
 import io.violetrail.config.Settings;
 import io.violetrail.config.Settings.Team;
 import io.violetrail.configuration.Configuration;
+import io.violetrail.evidence.GoneProof;
 import io.violetrail.model.Amounts;
 import io.violetrail.model.ControllerId;
 import io.violetrail.net.Loop;
@@ -264,7 +265,7 @@
           .filter(Placement::revocable)
           .filter(p -> exceeded(p.job.spec.team()))
           .toList()
-          .forEach(p -> h.unplace(p, now));
+          .forEach(p -> h.unplace(p, now, GoneProof.NEVER_SENT));
     }
   }
 
--- a/src/main/java/io/violetrail/node/Node.java
+++ b/src/main/java/io/violetrail/node/Node.java
@@ -11,6 +11,8 @@
 import io.violetrail.configuration.ConfigurationFollower;
 import io.violetrail.configuration.ConfigurationWriter;
 import io.violetrail.configuration.FixedConfiguration;
+import io.violetrail.evidence.EvidenceLog;
+import io.violetrail.evidence.GoneProof;
 import io.violetrail.fleet.Fleet;
 import io.violetrail.fleet.Machine;
 import io.violetrail.fleet.Prices;
@@ -54,6 +56,7 @@
 /** One controller: its parts, and what happens when entities come and go. */
 public final class Node implements Membership.Listener {
   private static final Logger LOG = LoggerFactory.getLogger(Node.class);
+  private static final Logger EVIDENCE = LoggerFactory.getLogger(EvidenceLog.class);
   private static final double TELL_S = 2;
   private static final double RETURN_EXCESS_S = 1;
 
@@ -77,6 +80,7 @@
   public final HeartbeatHandler heartbeats;
   public final WorkerReachability reachability;
   public final TaskStopper taskStopper;
+  public final EvidenceLog evidence;
   public final Estimates estimates = new Estimates();
 
   /** Serves the paths of what is off unless it is switched on; null if nothing is. */
@@ -104,6 +108,7 @@
         options.configuration()
             ? new ConfigurationFollower(settings, loop, store, directory, timing)
             : new FixedConfiguration(settings, directory);
+    this.evidence = new EvidenceLog(loop, EVIDENCE::info);
     this.jobs = new Jobs(this);
     this.intake = new Intake(this);
     this.taskStopper = new TaskStopper(this, http);
@@ -261,7 +266,7 @@
   /** Removes a machine that the cloud has taken back for sure. */
   public void removed(OwnedEntity h, Machine m) {
     for (var p : List.copyOf(m.tasks().values())) {
-      h.unplace(p, loop.seconds());
+      h.unplace(p, loop.seconds(), GoneProof.RETURNED);
     }
     h.machines.remove(m.id());
     gone.add(m.id());
--- a/src/main/java/io/violetrail/ownership/Membership.java
+++ b/src/main/java/io/violetrail/ownership/Membership.java
@@ -101,6 +101,16 @@
     return loop.seconds() < validUntil;
   }
 
+  /** For how long the lease is known to stand; not positive in doubt. */
+  public double remainingS() {
+    return validUntil - loop.seconds();
+  }
+
+  private String basis() {
+    return "lease valid for %.1f s, rows read as of revision %d"
+        .formatted(remainingS(), directory.revision());
+  }
+
   /** In doubt, but still allowed to keep workers' leases alive. */
   public boolean mayKeepAlive() {
     return loop.seconds() < validUntil + timing.graceS();
@@ -310,7 +320,7 @@
     store.sharers(Math.max(1, directory.aliveCount()));
     if (doubted == valid()) {
       doubted = !valid();
-      LOG.info(doubted ? "lease in doubt: nothing is launched" : "lease valid");
+      LOG.info("{}; {}", doubted ? "lease in doubt: nothing is launched" : "lease valid", basis());
     }
     for (EntityRow row : directory.entities()) {
       OwnedEntity held = holdings.get(row.entity());
@@ -446,7 +456,12 @@
     OwnedEntity h = new OwnedEntity(row, calm, loop.seconds());
     h.register = new Register(loop, store, directory, this, settings, h);
     holdings.put(row.entity(), h);
-    LOG.info("entity {} held with version {}", row.entity(), row.version());
+    LOG.info(
+        "entity {} held with version {} since revision {}; {}",
+        row.entity(),
+        row.version(),
+        row.stamp(),
+        basis());
     listener.gained(h);
   }
 
@@ -454,7 +469,7 @@
   public void drop(OwnedEntity h, String why) {
     if (holdings.remove(h.entity(), h)) {
       h.phase = OwnedEntity.Phase.LOST;
-      LOG.info("entity {} version {} given up: {}", h.entity(), h.row.version(), why);
+      LOG.info("entity {} version {} given up: {}; {}", h.entity(), h.row.version(), why, basis());
       listener.lost(h);
     }
   }
--- a/src/main/java/io/violetrail/ownership/OwnedEntity.java
+++ b/src/main/java/io/violetrail/ownership/OwnedEntity.java
@@ -1,5 +1,7 @@
 package io.violetrail.ownership;
 
+import io.violetrail.evidence.Departure;
+import io.violetrail.evidence.GoneProof;
 import io.violetrail.fleet.Machine;
 import io.violetrail.model.Amounts;
 import io.violetrail.model.ControllerId;
@@ -145,9 +147,13 @@
     int tasks;
   }
 
-  /** Takes a placement away, on evidence that the task is gone (or was never sent). */
-  public void unplace(Placement p, double now) {
+  /** Takes a placement away, on evidence that the task is gone. */
+  public void unplace(Placement p, double now, GoneProof proof) {
     count(p, -1);
+    if (proof != GoneProof.NEVER_SENT && p.job.phase == Job.Phase.OPEN && !p.job.isDone(p.index)) {
+      p.job.departed(
+          p.index, new Departure(p.machine.id(), p.attempt, proof, now, p.machine.answeredS));
+    }
     p.job.unplace(p);
     boolean spareBefore = p.machine.spare();
     p.machine.remove(p);
--- a/src/main/java/io/violetrail/scheduling/Dispatcher.java
+++ b/src/main/java/io/violetrail/scheduling/Dispatcher.java
@@ -1,5 +1,6 @@
 package io.violetrail.scheduling;
 
+import io.violetrail.evidence.GoneProof;
 import io.violetrail.fleet.Machine;
 import io.violetrail.model.Amounts;
 import io.violetrail.model.JobSpec;
@@ -113,10 +114,16 @@
     double report = node.settings.workers().reportS();
     if (!m.silent && now - m.heardS > 3 * report + 1) {
       m.silent = true;
-      LOG.info("machine {} of entity {} is silent", m.id(), h.entity());
+      LOG.info(
+          "machine {} of entity {} is silent: last report {} s ago in session {}, {} tasks",
+          m.id(),
+          h.entity(),
+          tenths(now - m.heardS),
+          m.session,
+          m.tasks().size());
       for (Placement p : List.copyOf(m.tasks().values())) {
         if (p.revocable()) {
-          h.unplace(p, now);
+          h.unplace(p, now, GoneProof.NEVER_SENT);
         }
       }
     }
@@ -130,15 +137,25 @@
         m.heard ? now - m.answeredS > node.timing.goneAfterAnswerS() : now > m.unheardGoneS;
     if (m.silent && gone && m.firstSession <= m.session) {
       LOG.info(
-          "machine {}: its worker's lease is over, and so are {} tasks", m.id(), m.tasks().size());
+          "machine {}: its worker's lease is over, and so are {} tasks: last answer {} s ago, a lease"
+              + " ends after {} s; heard under this version: {}",
+          m.id(),
+          m.tasks().size(),
+          tenths(now - m.answeredS),
+          tenths(node.timing.goneAfterAnswerS()),
+          m.heard);
       m.firstSession = m.session + 1;
       m.strays(Map.of());
       for (Placement p : List.copyOf(m.tasks().values())) {
-        h.unplace(p, now);
+        h.unplace(p, now, GoneProof.LEASE_OVER);
       }
     }
   }
 
+  private static double tenths(double seconds) {
+    return Math.round(seconds * 10) / 10.0;
+  }
+
   /** A gang that has lost a task cannot go on: the rest is stopped, so that it can start anew. */
   private void mendGang(OwnedEntity h, Job job, double now) {
     if (job.spec.shape() != Shape.GANG || job.nothingPlaced() || job.unplaced() == 0) {
@@ -151,7 +168,7 @@
     }
     for (Placement p : job.placements()) {
       if (p.revocable()) {
-        h.unplace(p, now);
+        h.unplace(p, now, GoneProof.NEVER_SENT);
       } else {
         p.halt(0);
         // The sooner the rest is gone, the sooner it starts anew.
--- a/src/main/java/io/violetrail/scheduling/Job.java
+++ b/src/main/java/io/violetrail/scheduling/Job.java
@@ -1,5 +1,6 @@
 package io.violetrail.scheduling;
 
+import io.violetrail.evidence.Departure;
 import io.violetrail.model.JobSpec;
 import io.violetrail.model.JobView;
 import io.violetrail.model.JobView.Status;
@@ -46,6 +47,9 @@
   /** Done or placed, so that the next free task of a wide job is found without a search. */
   private final BitSet taken = new BitSet();
 
+  /** Where tasks were last that wait to start anew. */
+  private final Int2ObjectHashMap<Departure> departures = new Int2ObjectHashMap<>();
+
   /** When each failed task may be tried again. */
   public final Int2ObjectHashMap<Double> notBefore = new Int2ObjectHashMap<>();
 
@@ -162,6 +166,16 @@
     }
   }
 
+  /** A task that is not done has left its machine. */
+  public void departed(int index, Departure departure) {
+    departures.put(index, departure);
+  }
+
+  /** Where a task that starts anew was last; null if it was nowhere as far as known here. */
+  public Departure takeDeparture(int index) {
+    return departures.isEmpty() ? null : departures.remove(index);
+  }
+
   /**
    * The next task at or after {@code from} that is neither done nor placed; -1 if there is none.
    */
--- a/src/main/java/io/violetrail/scheduling/Placement.java
+++ b/src/main/java/io/violetrail/scheduling/Placement.java
@@ -26,7 +26,7 @@
   public double runningS;
 
   /** Identifies a report of a worker. */
-  public record Sent(long session, long seq) {}
+  public record Sent(long session, long sequence) {}
 
   public Placement(Job job, int index, Machine machine, long attempt, double sinceS) {
     this.job = job;
--- a/src/main/java/io/violetrail/scheduling/Preemption.java
+++ b/src/main/java/io/violetrail/scheduling/Preemption.java
@@ -1,5 +1,6 @@
 package io.violetrail.scheduling;
 
+import io.violetrail.evidence.GoneProof;
 import io.violetrail.fleet.Machine;
 import io.violetrail.model.Amounts;
 import io.violetrail.model.Shape;
@@ -118,7 +119,7 @@
         halted.accept(q);
       }
     } else if (p.revocable()) {
-      h.unplace(p, now);
+      h.unplace(p, now, GoneProof.NEVER_SENT);
     } else {
       p.halt(save);
       halted.accept(p);
--- a/src/main/java/io/violetrail/wire/HeartbeatMessages.java
+++ b/src/main/java/io/violetrail/wire/HeartbeatMessages.java
@@ -24,7 +24,7 @@
       String zone,
       boolean spot,
       long session,
-      long seq,
+      long sequence,
       Version token,
       Double noticeS,
       List<TaskReport> pieces) {
@@ -33,8 +33,8 @@
       return pieces.stream().anyMatch(p -> p.state() != State.EXITED);
     }
 
-    public boolean newerThan(long otherSession, long otherSeq) {
-      return session > otherSession || session == otherSession && seq > otherSeq;
+    public boolean newerThan(long otherSession, long otherSequence) {
+      return session > otherSession || session == otherSession && sequence > otherSequence;
     }
   }
 
@@ -110,7 +110,7 @@
    */
   private static final long MOST = 1L << 53;
 
-  public static WorkerReport beat(JsonNode m) throws Malformed {
+  public static WorkerReport report(JsonNode m) throws Malformed {
     List<TaskReport> pieces = new ArrayList<>();
     Set<String> seen = new HashSet<>();
     JsonNode list = Cbor.present(m, "pieces");
--- a/src/main/java/io/violetrail/worker/LongPolls.java
+++ b/src/main/java/io/violetrail/worker/LongPolls.java
@@ -3,7 +3,6 @@
 import io.violetrail.fleet.Machine;
 import io.violetrail.model.MachineId;
 import io.violetrail.net.Loop;
-import io.violetrail.net.Service.Answer;
 import io.violetrail.wire.HeartbeatMessages.Command;
 import io.violetrail.wire.HeartbeatMessages.WorkerReport;
 import java.util.HashMap;
@@ -27,9 +26,9 @@
   /** A report whose answer is kept open. {@code first}: commands that it carries in any case. */
   record Report(
       Machine machine,
-      WorkerReport beat,
+      WorkerReport report,
       List<Command> first,
-      Consumer<Answer> done,
+      Consumer<HeartbeatReply> done,
       Loop.Cancellable timer) {}
 
   private final Loop loop;
@@ -43,8 +42,12 @@
 
   /** Keeps the answer open; {@code answer} is run when the time is over. */
   void park(
-      Machine m, WorkerReport beat, List<Command> first, Consumer<Answer> done, Runnable answer) {
-    reports.put(m.id(), new Report(m, beat, first, done, loop.after(waitS, answer)));
+      Machine m,
+      WorkerReport report,
+      List<Command> first,
+      Consumer<HeartbeatReply> done,
+      Runnable answer) {
+    reports.put(m.id(), new Report(m, report, first, done, loop.after(waitS, answer)));
   }
 
   /** Takes the open report of a machine out; null if there is none. */
--- a/src/test/java/io/violetrail/fakes/FakeWorker.java
+++ b/src/test/java/io/violetrail/fakes/FakeWorker.java
@@ -340,6 +340,7 @@
     if (!world.served()) {
       return;
     }
+    expire();
     String target =
         node != null ? node : World.name(at++ % Math.max(LEAST_KNOWN, world.controllers()));
     ObjectNode m =
