Listings: as of their first page, and nothing absent is read as empty

A listing of several pages was taken as of its last page's revision. A row made while it went on, in the part that was read already, was taken for dropped, and the watch went on from a revision after it: no change told of it any more. A machine whose block is missing hides its tasks from a new owner.

- A listing has its first page's revision; a page without its entries, revision or end is refused and read again.
A malformed page used to leave the listing, and all later ones, waiting for ever.
- The fake state service has 5 keys on a page.
- A lease's number: 0 stood for "none" and is a valid one; it is optional now, and the fake's first lease has the number 0.

--- a/src/main/java/io/violetrail/ownership/Membership.java
+++ b/src/main/java/io/violetrail/ownership/Membership.java
@@ -16,6 +16,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -65,7 +66,7 @@
   private final Map<ControllerId, OwnedEntity> holdings = new HashMap<>();
   private final Set<ControllerId> moving = new HashSet<>();
   private final Map<ControllerId, Double> absentSince = new HashMap<>();
-  private long lease;
+  private OptionalLong lease = OptionalLong.empty();
   private double validUntil = Double.NEGATIVE_INFINITY;
   private double startedS;
   private double askedBackS = Double.NEGATIVE_INFINITY;
@@ -148,7 +149,7 @@
             })
         .whenComplete(
             (id, failure) -> {
-              if (failure != null || id == 0) {
+              if (failure != null) {
                 loop.after(0.3, this::acquire);
               } else {
                 announce(id, sentAt);
@@ -189,7 +190,7 @@
                 loop.after(0.2, this::acquire);
                 return;
               }
-              lease = id;
+              lease = OptionalLong.of(id);
               validUntil = sentAt + timing.ttlS() - timing.marginS();
               directory.apply(
                   new Change(Rows.alive(me), Rows.aliveValue(settings.zone()), outcome.revision()));
@@ -228,23 +229,23 @@
   }
 
   private void renew() {
-    if (lease == 0) {
+    if (lease.isEmpty()) {
       return;
     }
-    long id = lease;
+    long id = lease.getAsLong();
     double sentAt = loop.seconds();
     store
         .renew(id)
         .whenComplete(
             (renewed, failure) -> {
-              if (lease != id || failure != null) {
+              if (!lease.equals(OptionalLong.of(id)) || failure != null) {
                 return;
               }
               if (renewed) {
                 validUntil = Math.max(validUntil, sentAt + timing.ttlS() - timing.marginS());
               } else {
                 LOG.info("lease {} has ended", id);
-                lease = 0;
+                lease = OptionalLong.empty();
                 acquire();
               }
             });
--- a/src/main/java/io/violetrail/state/StateStore.java
+++ b/src/main/java/io/violetrail/state/StateStore.java
@@ -10,6 +10,7 @@
 import io.violetrail.wire.StateWire;
 import io.violetrail.wire.StateWire.Entry;
 import io.violetrail.wire.StateWire.Outcome;
+import io.violetrail.wire.StateWire.Page;
 import io.violetrail.wire.StateWire.Txn;
 import java.util.ArrayList;
 import java.util.List;
@@ -149,50 +150,56 @@
     return asked.take(reads, loop.seconds()) ? get(key) : busy();
   }
 
-  /** Some keys of a prefix with the revision they are as of; {@code more}: others come after. */
-  public record Page(List<Entry> entries, long revision, boolean more) {}
-
   /** A page of keys after a key (empty: from the first on) for whoever asks, within that part. */
   public CompletableFuture<Page> pageForUser(String prefix, String after, int most) {
     if (!asked.take(1, loop.seconds()) || !requests.take(1, loop.seconds())) {
       return busy();
     }
     return call("GET", pagePath(prefix, after, most), null, TIMEOUT_S)
-        .thenApply(
-            r -> {
-              ObjectNode m = body(r);
-              return new Page(StateWire.entries(m), StateWire.revision(m), StateWire.more(m));
-            });
+        .thenApply(r -> read(r, StateWire::page));
   }
 
   private static String pagePath(String prefix, String after, int most) {
     return "/keys?under=" + prefix + "&most=" + most + (after.isEmpty() ? "" : "&after=" + after);
   }
 
+  /**
+   * All keys of a prefix. The pages are read one after the other and keys change meanwhile, so the
+   * listing is as of the <em>first</em> page's revision: what was changed since may be in it, but
+   * is told by a watch from there in any case. As of the last page's, rows that were made while the
+   * listing went on were taken for dropped, and no watch told of them any more.
+   */
   public CompletableFuture<Listing> list(String prefix) {
-    CompletableFuture<Listing> done = new CompletableFuture<>();
-    page(prefix, "", new ArrayList<>(), done);
-    return done;
+    return nextPage(prefix, "")
+        .thenCompose(first -> rest(prefix, first, new ArrayList<>(first.entries())));
+  }
+
+  private CompletableFuture<Listing> rest(String prefix, Page first, List<Entry> all) {
+    return restAfter(prefix, first, all).thenApply(nothing -> new Listing(all, first.revision()));
+  }
+
+  private CompletableFuture<Void> restAfter(String prefix, Page page, List<Entry> all) {
+    if (!page.more() || page.entries().isEmpty()) {
+      return CompletableFuture.completedFuture(null);
+    }
+    String last = page.entries().get(page.entries().size() - 1).key();
+    return nextPage(prefix, last)
+        .thenCompose(
+            next -> {
+              all.addAll(next.entries());
+              return restAfter(prefix, next, all);
+            });
   }
 
-  private void page(String prefix, String after, List<Entry> all, CompletableFuture<Listing> done) {
+  private CompletableFuture<Page> nextPage(String prefix, String after) {
     requests.force(1, loop.seconds());
-    call("GET", pagePath(prefix, after, PAGE), null, TIMEOUT_S * 2)
-        .whenComplete(
-            (r, failure) -> {
-              if (failure != null || !r.ok()) {
-                done.completeExceptionally(
-                    failure != null ? failure : new Unavailable("list", r.status()));
-                return;
-              }
-              ObjectNode m = body(r);
-              List<Entry> page = StateWire.entries(m);
-              all.addAll(page);
-              if (StateWire.more(m) && !page.isEmpty()) {
-                page(prefix, page.get(page.size() - 1).key(), all, done);
-              } else {
-                done.complete(new Listing(all, StateWire.revision(m)));
+    return call("GET", pagePath(prefix, after, PAGE), null, TIMEOUT_S * 2)
+        .thenApply(
+            r -> {
+              if (!r.ok()) {
+                throw new Unavailable("list", r.status());
               }
+              return read(r, StateWire::page);
             });
   }
 
@@ -306,7 +313,7 @@
   public CompletableFuture<Long> lease(double ttlS) {
     requests.force(1, loop.seconds());
     return call("POST", "/leases", Cbor.bytes(StateWire.lease(Math.round(ttlS * 1000))), TIMEOUT_S)
-        .thenApply(r -> StateWire.leaseId(body(r)));
+        .thenApply(r -> read(r, StateWire::leaseId));
   }
 
   /** True if renewed, false if the lease has ended. */
@@ -372,9 +379,18 @@
     return CompletableFuture.failedFuture(new Unavailable("the budget is used up", 429));
   }
 
+  /** Reads a part of an answer. */
+  private interface Reader<T> {
+    T read(ObjectNode body) throws Malformed;
+  }
+
   private static ObjectNode body(Http.Reply r) {
+    return read(r, m -> m);
+  }
+
+  private static <T> T read(Http.Reply r, Reader<T> reader) {
     try {
-      return Cbor.parse(r.body());
+      return reader.read(Cbor.parse(r.body()));
     } catch (Malformed e) {
       throw new Unavailable("the state service's answer is unclear", 0);
     }
--- a/src/main/java/io/violetrail/wire/StateWire.java
+++ b/src/main/java/io/violetrail/wire/StateWire.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.violetrail.wire.Cbor.Malformed;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashSet;
@@ -89,14 +90,18 @@
     return new Entry(m.path("key").asText(), m.get("v"), m.path("stamp").asLong());
   }
 
-  public static List<Entry> entries(JsonNode m) {
-    List<Entry> all = new ArrayList<>();
-    m.path("entries").forEach(e -> all.add(entry(e)));
-    return all;
-  }
+  /** A page of a listing: keys with the revision that the page is as of. */
+  public record Page(List<Entry> entries, long revision, boolean more) {}
 
-  public static boolean more(JsonNode m) {
-    return m.path("truncated").asBoolean(false);
+  /** A page says all of its parts: one without entries is not the same as an empty one. */
+  public static Page page(JsonNode m) throws Malformed {
+    JsonNode entries = Cbor.present(m, "entries");
+    if (entries == null || !entries.isArray()) {
+      throw new Malformed("entries must be a list");
+    }
+    List<Entry> all = new ArrayList<>();
+    entries.forEach(e -> all.add(entry(e)));
+    return new Page(all, Cbor.count(m, "epoch"), Cbor.flag(m, "truncated"));
   }
 
   public static long revision(JsonNode m) {
@@ -124,7 +129,8 @@
     return Cbor.map().put("life_ms", ttlMs);
   }
 
-  public static long leaseId(JsonNode m) {
-    return m.path("hold").asLong();
+  /** The name of a lease that was granted; any number may be one. */
+  public static long leaseId(JsonNode m) throws Malformed {
+    return Cbor.count(m, "hold");
   }
 }
--- a/src/test/java/io/violetrail/fakes/FakeState.java
+++ b/src/test/java/io/violetrail/fakes/FakeState.java
@@ -69,6 +69,11 @@
   private Budget requestBudget;
   private Budget writeBudget;
 
+  /** Keys on a page of a listing; small, so that listings have more than one. */
+  public int page = 5;
+
+  private static final long NO_LEASE = -1;
+
   /** As many changes are kept for watches. */
   private static final int KEPT_CHANGES = 10_000;
 
@@ -76,7 +81,9 @@
   private long forgottenRevision;
 
   private long revision;
-  private long lastLease;
+
+  /** Any number may name a lease, the first one too. */
+  private long nextLease;
 
   FakeState(World world) {
     this.world = world;
@@ -89,7 +96,7 @@
 
   /** A row that is there without anybody's having written it. */
   void put(String key, JsonNode value) {
-    keys.put(key, new Entry(value, ++revision, 0));
+    keys.put(key, new Entry(value, ++revision, NO_LEASE));
   }
 
   /** A row is gone without anybody's having dropped it. */
@@ -185,9 +192,9 @@
         Lease l = new Lease();
         l.ttl = body.get("life_ms").asLong() / 1000.0;
         l.ends = world.now() + l.ttl;
-        leases.put(++lastLease, l);
+        leases.put(nextLease, l);
         world.at(l.ttl + 0.05, this::expire);
-        done.accept(Answer.of(200, Cbor.map().put("hold", lastLease)));
+        done.accept(Answer.of(200, Cbor.map().put("hold", nextLease++)));
       } else {
         Lease l = leases.get(Long.parseLong(path.split("/")[2]));
         if (l != null) {
@@ -241,7 +248,7 @@
         break;
       }
       if (e.getKey().compareTo(after) > 0) {
-        if (entries.size() == most) {
+        if (entries.size() == Math.min(most, page)) {
           more = true;
           break;
         }
@@ -288,7 +295,7 @@
       } else {
         String key = w.get("set").asText();
         largestValue = Math.max(largestValue, w.get("v").toString().length());
-        keys.put(key, new Entry(w.get("v"), revision, w.path("hold").asLong()));
+        keys.put(key, new Entry(w.get("v"), revision, w.path("hold").asLong(NO_LEASE)));
         ObjectNode change = Cbor.map().put("set", key);
         change.set("v", w.get("v"));
         log(key, change);
--- a/src/test/java/io/violetrail/fakes/World.java
+++ b/src/test/java/io/violetrail/fakes/World.java
@@ -505,6 +505,11 @@
         new Limits(1, 200, 500));
   }
 
+  /** Time and turns of a controller that is not running, for tests of its parts. */
+  public Loop loopOf(String name) {
+    return new NodeLoop(name, lives.merge(name, 1, Integer::sum));
+  }
+
   private final class NodeLoop implements Loop {
     private final String name;
     private final int life;
