--- a/src/main/java/io/violetrail/evidence/EvidenceLog.java
+++ b/src/main/java/io/violetrail/evidence/EvidenceLog.java
@@ -55,9 +55,15 @@
             .formatted(worker, kind, token, seen, session, before));
   }
 
-  /** A task is launched that was on another machine, or on this one with another attempt. */
+  /**
+   * A task is launched that was on a machine before. What its worker itself reported as ended is
+   * counted only.
+   */
   public void startsElsewhere(TaskId task, long attempt, MachineId machine, Departure from) {
     startsElsewhere.merge(from.proof(), 1L, Long::sum);
+    if (from.proof() == GoneProof.REPORTED_ENDED) {
+      return;
+    }
     double now = loop.seconds();
     write(
         "task=%s attempt=%d starts_on=%s was_on=%s was_attempt=%d proof=%s proof_age_s=%.1f answered_age_s=%.1f"
--- a/src/test/java/io/violetrail/evidence/EvidenceLogTest.java
+++ b/src/test/java/io/violetrail/evidence/EvidenceLogTest.java
@@ -56,6 +56,14 @@
         written);
   }
 
+  @Test
+  void anEndThatTheWorkerReportedIsCountedOnly() {
+    Departure ended = new Departure(new MachineId("vm-1"), 7, GoneProof.REPORTED_ENDED, 90, 90);
+    evidence.startsElsewhere(TASK, 8, new MachineId("vm-2"), ended);
+    assertEquals(List.of(), written);
+    assertEquals(1, evidence.startsElsewhere(GoneProof.REPORTED_ENDED));
+  }
+
   @Test
   void linesAreBoundedInRateAndCountersAreComplete() {
     for (int i = 0; i < 1_000; i++) {
--- a/src/test/java/io/violetrail/fakes/EarlierProgram.java
+++ b/src/test/java/io/violetrail/fakes/EarlierProgram.java
@@ -39,6 +39,13 @@
     world.cloud.workers.values().forEach(w -> w.highestToken(Version.NONE.value()));
   }
 
+  /** An entity that has been handed over, before its new owner has seen that. */
+  public void handedOver(String entity, int to) {
+    world.state.put(
+        "c/entity/" + entity,
+        Cbor.map().put("owner", World.name(to)).put("version", to).put("calm", true));
+  }
+
   private ObjectNode row(String key) {
     return (ObjectNode) world.state.value(key).deepCopy();
   }
--- a/src/test/java/io/violetrail/stories/WorkerLeaseTest.java
+++ b/src/test/java/io/violetrail/stories/WorkerLeaseTest.java
@@ -1,5 +1,6 @@
 package io.violetrail.stories;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -9,7 +10,9 @@
 import io.violetrail.fakes.FakeWorker;
 import io.violetrail.fakes.User;
 import io.violetrail.model.Version;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -107,4 +110,35 @@
       assertFalse(cutOff.contains(runs(LONG_JOB + "/" + i)));
     }
   }
+
+  @ParameterizedTest
+  @ValueSource(ints = {0, 2})
+  void aRowHandedOverByAnEarlierProgramIsRewrittenBeforeItIsHeld(int to) {
+    new EarlierProgram(world).handedOver("c1", to);
+    world.up();
+    user.submit("c1", User.job(SHORT_JOB, 4));
+    runs(SHORT_JOB + "/3");
+    assertTrue(world.state.value("c/entity/c1").get("version").asLong() >= Version.INCREMENT);
+    world.until(60, () -> user.poll("c1", SHORT_JOB).equals("done"));
+  }
+
+  @Test
+  void theMetricsSayWhoAnsweredAndWhatAllowedTheStarts() {
+    tasksStartElsewhereOnceTheyAreGone(AbsentToken.READ_AS_LOWEST, 3);
+    assertTrue(metric("c1", "heartbeat.replies kind=stay") > 0);
+    assertTrue(metric("c0", "heartbeat.replies kind=renewed") > 0);
+    assertEquals(2 * TASKS / 4.0, metric("c0", "starts.elsewhere proof=lease_over"));
+    assertEquals(0, metric("c0", "leases.outlived"));
+    assertTrue(metric("c0", "lease.remaining.s") > 0);
+  }
+
+  private double metric(String controller, String name) {
+    byte[] text = user.send(controller, "GET", "/metrics", null).body();
+    return new String(text, StandardCharsets.UTF_8)
+        .lines()
+        .filter(line -> line.startsWith("violetrail." + name + " "))
+        .mapToDouble(line -> Double.parseDouble(line.substring(line.lastIndexOf(' ') + 1)))
+        .findFirst()
+        .orElseThrow();
+  }
 }
