--- a/src/main/java/io/violetrail/evidence/EvidenceLog.java
+++ b/src/main/java/io/violetrail/evidence/EvidenceLog.java
@@ -5,8 +5,6 @@
 import io.violetrail.model.Version;
 import io.violetrail.net.Budget;
 import io.violetrail.net.Loop;
-import java.util.EnumMap;
-import java.util.Map;
 import java.util.function.Consumer;
 
 /**
@@ -24,8 +22,11 @@
   private final Loop loop;
   private final Consumer<String> sink;
   private final Budget lines;
-  private final Map<ReplyKind, Long> replies = new EnumMap<>(ReplyKind.class);
-  private final Map<GoneProof, Long> startsElsewhere = new EnumMap<>(GoneProof.class);
+
+  /** By the ordinals of their kinds: one is counted with each report. */
+  private final long[] replies = new long[ReplyKind.values().length];
+
+  private final long[] startsElsewhere = new long[GoneProof.values().length];
   private long droppedLines;
   private long droppedSinceLast;
   private long outlivedLeases;
@@ -34,17 +35,11 @@
     this.loop = loop;
     this.sink = sink;
     this.lines = new Budget(LINES_PER_SECOND, LINES_AT_ONCE, loop.seconds());
-    for (ReplyKind kind : ReplyKind.values()) {
-      replies.put(kind, 0L);
-    }
-    for (GoneProof proof : GoneProof.values()) {
-      startsElsewhere.put(proof, 0L);
-    }
   }
 
   /** An answer to a report. */
   public void replied(ReplyKind kind) {
-    replies.merge(kind, 1L, Long::sum);
+    replies[kind.ordinal()]++;
   }
 
   /** A worker is answered otherwise than before, or is here for the first time or again. */
@@ -60,7 +55,7 @@
    * counted only.
    */
   public void startsElsewhere(TaskId task, long attempt, MachineId machine, Departure from) {
-    startsElsewhere.merge(from.proof(), 1L, Long::sum);
+    startsElsewhere[from.proof().ordinal()]++;
     if (from.proof() == GoneProof.REPORTED_ENDED) {
       return;
     }
@@ -97,11 +92,11 @@
   }
 
   public long replies(ReplyKind kind) {
-    return replies.get(kind);
+    return replies[kind.ordinal()];
   }
 
   public long startsElsewhere(GoneProof proof) {
-    return startsElsewhere.get(proof);
+    return startsElsewhere[proof.ordinal()];
   }
 
   public long droppedLines() {
--- a/src/main/java/io/violetrail/ownership/OwnedEntity.java
+++ b/src/main/java/io/violetrail/ownership/OwnedEntity.java
@@ -40,6 +40,9 @@
   /** How many tasks of each priority are placed, so that none is looked for in vain. */
   private final int[] placedByPriority = new int[Priority.values().length];
 
+  /** Whether each of its machines has reported since the move, or is known to hold nothing. */
+  public boolean recovered;
+
   /** Where its machines are recorded. */
   public Register register;
 
--- a/src/main/java/io/violetrail/scheduling/Dispatcher.java
+++ b/src/main/java/io/violetrail/scheduling/Dispatcher.java
@@ -99,10 +99,26 @@
         if (!order(h).isEmpty()) {
           wake();
         }
+        noteRecovery(h, now);
       }
     }
   }
 
+  /** From here on tasks start that were open before the move and that no report has shown since. */
+  private static void noteRecovery(OwnedEntity h, double now) {
+    if (h.recovered || h.uncertain(now)) {
+      return;
+    }
+    h.recovered = true;
+    LOG.info(
+        "entity {} version {}: {} s after the move all of {} machines have reported or hold nothing;"
+            + " what no report shows may start",
+        h.entity(),
+        h.row.version(),
+        tenths(now - h.gainedS),
+        h.machines.size());
+  }
+
   /**
    * Notices silence: first nothing more is placed, and after the worker's lease its tasks are gone.
    */
