--- a/src/test/java/io/violetrail/ownership/RowsTest.java
+++ b/src/test/java/io/violetrail/ownership/RowsTest.java
@@ -9,8 +9,10 @@
 import io.violetrail.config.Settings.Workers;
 import io.violetrail.fakes.World;
 import io.violetrail.model.ControllerId;
+import io.violetrail.model.MachineId;
 import io.violetrail.model.Version;
 import io.violetrail.ownership.Rows.EntityRow;
+import io.violetrail.ownership.Rows.MachineRow;
 import io.violetrail.ownership.Rows.OwnershipHistory;
 import io.violetrail.wire.Cbor;
 import org.junit.jupiter.api.Test;
@@ -51,6 +53,18 @@
     assertTrue(Rows.alive(Rows.aliveValue("z"), 1).tokenInEveryAnswer());
   }
 
+  @Test
+  void anAbsentRowHasStampZeroAndTheFirstBlockIsABlock() {
+    Directory directory = new Directory(new World(3, 1).settings("c0"));
+    ControllerId c1 = new ControllerId("c1");
+    assertEquals(0, directory.aliveStamp(c1), "the condition that the key does not exist");
+    assertFalse(directory.isAlive(c1));
+    MachineId id = new MachineId("vm-1");
+    MachineRow row = new MachineRow(id, c1, "plain", "a", false, false, Version.NONE, NOW_MS);
+    assertFalse(row.inBlock());
+    assertTrue(row.inBlock(0).inBlock());
+  }
+
   @Test
   void aHistoryThatSaysNothingMakesNobodyWaitAndBeginsWithTheFirstMove() {
     World world = new World(3, 1);
--- a/src/test/java/io/violetrail/stories/IntakeTest.java
+++ b/src/test/java/io/violetrail/stories/IntakeTest.java
@@ -74,6 +74,8 @@
             m -> m.put("name_id", "task-1"),
             m -> m.put("one_zone", "yes"),
             m -> m.remove("crew"),
+            m -> m.put("crew", ""),
+            m -> m.put("yard", ""),
             m -> m.put("hosttypes", "plain"));
     for (int i = 0; i < mistakes.size(); i++) {
       ObjectNode job = User.job("job-9", 1);
