Names: tests of the grace period and of fault combinations say what they show

GapTest and MeetingsTest become KeepAliveGraceTest and FaultCombinationsTest; nothing else in them changes but the class comments.

--- a/src/test/java/io/violetrail/stories/MeetingsTest.java
+++ b/src/test/java/io/violetrail/stories/FaultCombinationsTest.java
@@ -21,9 +21,11 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** Two troubles at once, a story or a few for each meeting that operators have seen break rules. */
-class MeetingsTest extends Story {
-  MeetingsTest() {
+/**
+ * Two faults at once: a test or a few for each combination that operators have seen break rules.
+ */
+class FaultCombinationsTest extends Story {
+  FaultCombinationsTest() {
     super(5);
   }
 
--- a/src/test/java/io/violetrail/stories/GapTest.java
+++ b/src/test/java/io/violetrail/stories/KeepAliveGraceTest.java
@@ -16,12 +16,12 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
- * The gap: a leader is refused by the state service, its successor confirms cancellations, then the
- * state service is down for everybody for longer than {@code cancel_s}, while workers go on
- * reporting. The tasks must be gone in time all the same, however long or short {@code cancel_s} is
- * beside the workers' lease.
+ * The keep-alive grace period of owners whose lease is uncertain: one is refused by the state
+ * service, its successor confirms cancellations, then the state service is down for everybody for
+ * longer than {@code cancel_s}, while workers go on reporting. The tasks must be gone in time all
+ * the same, however long or short {@code cancel_s} is beside the workers' lease.
  */
-class GapTest {
+class KeepAliveGraceTest {
   private World world;
   private User user;
 
