--- a/src/test/java/io/violetrail/evidence/EvidenceLogTest.java
+++ b/src/test/java/io/violetrail/evidence/EvidenceLogTest.java
@@ -3,10 +3,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.violetrail.fakes.World;
 import io.violetrail.model.JobId;
 import io.violetrail.model.MachineId;
 import io.violetrail.model.TaskId;
-import io.violetrail.net.Loop;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -17,30 +17,8 @@
       new Departure(new MachineId("vm-1"), 7, GoneProof.LEASE_OVER, 90, 80);
 
   private final List<String> written = new ArrayList<>();
-  private double nowS = 100;
-  private final EvidenceLog evidence = new EvidenceLog(new ClockOnly(), written::add);
-
-  private final class ClockOnly implements Loop {
-    @Override
-    public long nanos() {
-      return (long) (nowS * 1e9);
-    }
-
-    @Override
-    public long wallMillis() {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public void execute(Runnable task) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public Cancellable after(double seconds, Runnable task) {
-      throw new UnsupportedOperationException();
-    }
-  }
+  private final World world = new World(1, 1);
+  private final EvidenceLog evidence = new EvidenceLog(world.loopOf("c0"), written::add);
 
   private void startElsewhere() {
     evidence.startsElsewhere(TASK, 8, new MachineId("vm-2"), FROM);
@@ -70,7 +48,7 @@
       startElsewhere();
     }
     assertEquals(60, written.size());
-    nowS += 1;
+    world.run(1);
     startElsewhere();
     assertTrue(written.get(60).endsWith(" lines_left_out=940"), written.get(60));
     assertEquals(940, evidence.droppedLines());
--- a/src/test/java/io/violetrail/state/ListingTest.java
+++ b/src/test/java/io/violetrail/state/ListingTest.java
@@ -36,11 +36,15 @@
     return m;
   }
 
-  @Test
-  void aListingIsAsOfItsFirstPage() {
+  private Listing listingOfTwoPages() {
     answers.add(page(10, true, Rows.ALIVE + "c1", 4));
     answers.add(page(12, false, Rows.ALIVE + "c9", 5));
-    Listing listing = store.list(Rows.COMMON).join();
+    return store.list(Rows.COMMON).join();
+  }
+
+  @Test
+  void aListingIsAsOfItsFirstPage() {
+    Listing listing = listingOfTwoPages();
     assertEquals(2, listing.entries().size());
     assertEquals(10, listing.revision());
   }
@@ -49,9 +53,7 @@
   void aRowMadeWhileTheListingWentOnIsKept() {
     Directory directory = new Directory(world.settings("c0"));
     directory.apply(new Change(Rows.ALIVE + "c0", Rows.aliveValue("z"), 11));
-    answers.add(page(10, true, Rows.ALIVE + "c1", 4));
-    answers.add(page(12, false, Rows.ALIVE + "c9", 5));
-    Listing listing = store.list(Rows.COMMON).join();
+    Listing listing = listingOfTwoPages();
     directory.replace(listing.entries(), listing.revision());
     assertEquals(11, directory.aliveStamp(new ControllerId("c0")));
     assertEquals(10, directory.revision(), "the watch goes on from there");
