--- a/review/standins/review/Worker.java
+++ b/review/standins/review/Worker.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.net.http.HttpClient;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -15,6 +16,7 @@
 final class Worker {
   private static final double REPLY_TIMEOUT = 4;
   private static final double FETCH_SECONDS = 0.3;
+  private static final double FAILS_AFTER_SECONDS = 1;
 
   static final class Task {
     String piece;
@@ -23,6 +25,7 @@
     String cause;
     double startsAt;
     double endsAt;
+    boolean fails;
 
   }
 
@@ -37,6 +40,7 @@
   private final World world;
   private final HttpServer server;
   private final HttpClient client = Kit.newClient();
+  private final Map<String, Integer> failuresByJob = new HashMap<>();
   private final Map<String, Task> tasks = new LinkedHashMap<>();
   private final List<SentReport> sentReports = new ArrayList<>();
   private boolean up = true;
@@ -48,6 +52,7 @@
   private double nextReportAt = Kit.now();
   private double interval;
   private boolean changed;
+  private boolean faulty;
   private int controller;
   private double tokenChangeReportedAt = -100;
 
@@ -89,6 +94,29 @@
     return token;
   }
 
+  /** Whether this machine is faulty: every task that it starts fails soon. */
+  synchronized void setFaulty(boolean nowFaulty) {
+    faulty = nowFaulty;
+    Kit.log("%s: %s", id, faulty ? "fails every task that it starts" : "is sound again");
+  }
+
+  /** Returns how many tasks of a job have failed here. */
+  synchronized int failures(String job) {
+    return failuresByJob.getOrDefault(job, 0);
+  }
+
+  synchronized double freeCores() {
+    return up ? world.coresOfType(type) - usedCores() : 0;
+  }
+
+  private double usedCores() {
+    double used = 0;
+    for (Task task : tasks.values()) {
+      used += task.status.equals("ended") ? 0 : world.coresOf(task.piece);
+    }
+    return used;
+  }
+
   /** Lets the running tasks of a job end at the given time. */
   synchronized void endAt(String job, double at) {
     for (Task task : tasks.values()) {
@@ -148,11 +176,12 @@
     for (Task task : tasks.values()) {
       if (task.status.equals("fetching") && now >= task.startsAt) {
         task.status = "running";
-        task.endsAt = now + world.durationOf(task.piece);
+        task.fails = faulty;
+        task.endsAt = now + (faulty ? FAILS_AFTER_SECONDS : world.durationOf(task.piece));
         changed = true;
         world.started(this, task);
       } else if (task.status.equals("running") && now >= task.endsAt) {
-        end(task, "done");
+        end(task, task.fails ? "error" : "done");
       }
     }
   }
@@ -161,6 +190,9 @@
     task.status = "ended";
     task.cause = cause;
     changed = true;
+    if (cause.equals("error")) {
+      failuresByJob.merge(task.piece.substring(0, task.piece.indexOf('/')), 1, Integer::sum);
+    }
     Kit.log("%s: %s try %d ends: %s", id, task.piece, task.attempt, cause);
     world.ended(this, task);
   }
@@ -309,11 +341,7 @@
     launched.attempt = attempt;
     launched.status = "fetching";
     launched.startsAt = Kit.now() + FETCH_SECONDS;
-    double used = 0;
-    for (Task other : tasks.values()) {
-      used += other.status.equals("ended") ? 0 : world.coresOf(other.piece);
-    }
-    if (used + world.coresOf(piece) > world.coresOfType(type) + 1e-6) {
+    if (usedCores() + world.coresOf(piece) > world.coresOfType(type) + 1e-6) {
       launched.status = "ended";
       launched.cause = "no_room";
       Kit.log("%s: launch of %s try %d refused: no_room", id, piece, attempt);
--- a/review/standins/review/World.java
+++ b/review/standins/review/World.java
@@ -12,6 +12,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -49,6 +50,20 @@
     /** A port that the deploy file's command fixes at each controller; 0 if there is none. */
     int fixedPort;
 
+    static Site mitaHub() {
+      Site site = mitaHubFleet();
+      site.reportSeconds = 2.5;
+      site.leaseSeconds = 16;
+      site.cancelSeconds = 36;
+      site.stateRps = 100;
+      site.stateWriteRps = 25;
+      site.cloudRps = 8;
+      site.cpuShare = 0.88;
+      site.memoryMb = 263;
+      site.sockets = 1800;
+      return site;
+    }
+
     static Site mitaHubFleet() {
       Site site = new Site();
       site.labels = new String[] {"c0", "c1", "c2"};
@@ -517,6 +532,13 @@
     }
   }
 
+  /** Returns how often a task has started. */
+  int startCount(String piece) {
+    synchronized (occupants) {
+      return Collections.frequency(starts, piece);
+    }
+  }
+
   /** Returns the tasks that are on a machine. */
   List<String> tasksOnMachines() {
     synchronized (occupants) {
