Ownership: a restarted owner no longer shares a version with its former process

On the fakes a team exceeded its limit (quota) as well.

Cause: a controller that holds a peer's entity by a handover, ends and is back before its lease has expired took the entity as its row stood, since the row says that it was handed over; it did not ask to which process. Registration moves only the home entity. Reports that were sent under the former process then carried the present token and counted as evidence of what runs and of what a team uses, attempt numbers and request names were counted from 1 under the same version again, and late transactions of the former process met an unchanged row.

Evidence: the log names the same version and revision in "started to own entity" before and after the restart; the case's record has launch twice.

Change: a row that names this controller is used as it stands only if it was written after this process had first registered, when a former process had ended. Otherwise the entity moves to a new version, and a log line says so. All that is counted, fenced or proven by the version or by the row's revision is then the process's own.

--- a/src/main/java/io/violetrail/ownership/ControllerRegistration.java
+++ b/src/main/java/io/violetrail/ownership/ControllerRegistration.java
@@ -6,6 +6,7 @@
 import io.violetrail.wire.StateStoreMessages.RowChange;
 import io.violetrail.wire.StateStoreMessages.Transaction;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /**
@@ -16,7 +17,8 @@
  * of all entities that this controller still owns, because a survivor may have taken them over
  * while there was no liveness row between two leases.
  *
- * <p>Called by {@link ControllerLeaseRenewal} on the event loop's thread.
+ * <p>Called by {@link ControllerLeaseRenewal} and {@link EntityFailover} on the event loop's
+ * thread.
  */
 final class ControllerRegistration {
   private final Settings settings;
@@ -25,6 +27,9 @@
   private final OwnedEntities ownedEntities;
   private final ClusterRowsFollower rowsFollower;
 
+  /** The revision of this process's first registration; empty before it. */
+  private OptionalLong firstRevision = OptionalLong.empty();
+
   ControllerRegistration(
       Settings settings,
       ClusterView clusterView,
@@ -87,8 +92,19 @@
     return Optional.of(succession.nextRow(formerRow, self, formerRow.acquiredGracefully(), false));
   }
 
+  /**
+   * Returns whether this process had registered before the row was written. Its former processes
+   * had ended by then, so none of them has acted under the row's version.
+   */
+  boolean wasRegisteredBefore(EntityRow row) {
+    return firstRevision.isPresent() && row.modRevision() > firstRevision.getAsLong();
+  }
+
   /** Updates the local state after the transaction was applied at the given revision. */
   void onApplied(Draft draft, long revision) {
+    if (firstRevision.isEmpty()) {
+      firstRevision = OptionalLong.of(revision);
+    }
     clusterView.apply(
         new RowChange(
             StateSchema.livenessKey(settings.self()),
--- a/src/main/java/io/violetrail/ownership/EntityFailover.java
+++ b/src/main/java/io/violetrail/ownership/EntityFailover.java
@@ -21,8 +21,9 @@
  * <ul>
  *   <li>If the row of an owned entity is newer than the row under which this controller acquired
  *       the entity, another controller may own it now. This controller gives the entity up.
- *   <li>If a row names this controller and the entity is not owned here, for example after a
- *       handover, this controller starts to own the entity.
+ *   <li>If a row names this controller and the entity is not owned here, this controller starts to
+ *       own the entity: under the row's version after a handover to this process, under a new
+ *       version after a restart.
  *   <li>If a row names an owner whose lease has expired, this controller tries to take the entity
  *       over (failover).
  *   <li>If the row of this controller's home entity, the entity with the controller's own id, names
@@ -62,6 +63,7 @@
   private final StateStore store;
   private final ClusterView clusterView;
   private final ControllerLease lease;
+  private final ControllerRegistration registration;
   private final EntitySuccession succession;
   private final OwnedEntities ownedEntities;
   private final ClusterRowsFollower rowsFollower;
@@ -77,6 +79,7 @@
       StateStore store,
       ClusterView clusterView,
       ControllerLease lease,
+      ControllerRegistration registration,
       EntitySuccession succession,
       OwnedEntities ownedEntities,
       ClusterRowsFollower rowsFollower,
@@ -86,6 +89,7 @@
     this.store = store;
     this.clusterView = clusterView;
     this.lease = lease;
+    this.registration = registration;
     this.succession = succession;
     this.ownedEntities = ownedEntities;
     this.rowsFollower = rowsFollower;
@@ -145,17 +149,36 @@
   }
 
   /**
-   * Starts to own an entity whose row already names this controller. The entity first moves to a
-   * new version in two cases. If it was not acquired gracefully, a previous process of this
-   * controller may have sent commands to its workers under the row's version. If an earlier release
-   * wrote the row, its version may be too low to serve as a fencing token.
+   * Starts to own an entity whose row already names this controller. Unless the row records a
+   * handover to this very process, the entity first moves to a new version, because a former
+   * process of this controller may have acted under the row's version. Workers' reports would then
+   * count as evidence although they were sent under the former process, its late transactions would
+   * still be applied, and attempt numbers and request names, which each owner counts from 1 under
+   * its version, would be used twice.
    */
   private void resumeOwnership(EntityRow row) {
-    if (row.acquiredGracefully() && row.version().isFencingToken()) {
+    if (isHandoverToThisProcess(row)) {
       ownedEntities.startOwning(row, true);
-    } else {
-      acquireOwnership(row, row.acquiredGracefully(), settings.self());
+      return;
     }
+    LOG.info(
+        "entity {}: version {} at revision {} was not handed over to this process;"
+            + " moving the entity to a new version",
+        row.entity(),
+        row.version(),
+        row.modRevision());
+    acquireOwnership(row, row.acquiredGracefully(), settings.self());
+  }
+
+  /**
+   * Returns whether the row records a handover to this process, so that no former process has acted
+   * under its version. The version of a row that an earlier release wrote may be too low to serve
+   * as a fencing token.
+   */
+  private boolean isHandoverToThisProcess(EntityRow row) {
+    return row.acquiredGracefully()
+        && row.version().isFencingToken()
+        && registration.wasRegisteredBefore(row);
   }
 
   private void requestHandback(ControllerId owner) {
--- a/src/main/java/io/violetrail/ownership/Membership.java
+++ b/src/main/java/io/violetrail/ownership/Membership.java
@@ -78,15 +78,10 @@
     ownedEntities =
         new OwnedEntities(settings, loop, store, clusterView, lease, rowsFollower, listener);
     EntitySuccession succession = new EntitySuccession(settings, loop, clusterView, leaseTiming);
+    ControllerRegistration registration =
+        new ControllerRegistration(settings, clusterView, succession, ownedEntities, rowsFollower);
     leaseRenewal =
-        new ControllerLeaseRenewal(
-            loop,
-            store,
-            clusterView,
-            leaseTiming,
-            lease,
-            new ControllerRegistration(
-                settings, clusterView, succession, ownedEntities, rowsFollower));
+        new ControllerLeaseRenewal(loop, store, clusterView, leaseTiming, lease, registration);
     failover =
         new EntityFailover(
             settings,
@@ -94,6 +89,7 @@
             store,
             clusterView,
             lease,
+            registration,
             succession,
             ownedEntities,
             rowsFollower,
--- a/src/test/java/io/violetrail/fakes/FakeWorker.java
+++ b/src/test/java/io/violetrail/fakes/FakeWorker.java
@@ -291,6 +291,11 @@
         .collect(Collectors.toSet());
   }
 
+  /** Lets a running task complete at the next report, whatever its duration. */
+  public void endTaskNow(String task) {
+    tasksById.get(task).endsAtSeconds = simulation.nowSeconds();
+  }
+
   /** Sends an earlier report again to the given controller; the reply is ignored. */
   public void resendReport(int reportIndex, String controllerName) {
     simulation.callController(
--- /dev/null
+++ b/src/test/java/io/violetrail/simulation/RestartedOwnerTest.java
@@ -0,0 +1,181 @@
+package io.violetrail.simulation;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.violetrail.config.Settings.Team;
+import io.violetrail.fakes.ClusterSimulation;
+import io.violetrail.fakes.FakeWorker;
+import io.violetrail.fakes.SimulatedUser;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * Tests controllers whose process ends and is started again while the row of an entity that a peer
+ * has handed over to them still names them as its owner.
+ */
+class RestartedOwnerTest extends SimulationTestBase {
+  /** A task of this size occupies a whole machine. */
+  private static final double WHOLE_MACHINE_CPUS = 8;
+
+  /** Seeds that violated an invariant before owners got a version for each of their processes. */
+  private static final long[] FORMERLY_FAILING_SEEDS = {60, 96, 122, 127, 138, 140};
+
+  private static final long DEFAULT_SEED_COUNT = 6;
+
+  /** How many of a worker's latest reports may arrive again. */
+  private static final int MAX_REPORT_AGE = 10;
+
+  RestartedOwnerTest() {
+    super(41);
+  }
+
+  private void submitWholeMachineJob(String id) {
+    assertEquals(
+        201,
+        user.submit(
+            "c0",
+            SimulatedUser.jobRequest(id, 1).put("cores", WHOLE_MACHINE_CPUS).put("guess_s", 60.0)));
+  }
+
+  private void cutOffFromWorkers(String controller) {
+    simulation
+        .networkFaults()
+        .holdMessages(
+            message ->
+                message.matches("vm-\\d+ " + controller + " POST /agent/beat.*")
+                    || message.matches(controller + " vm-\\d+ GET /status.*"));
+  }
+
+  /** Cuts c0 off from its workers, and returns the controller to which c0 hands its entity over. */
+  private String awaitHandoverFromC0() {
+    cutOffFromWorkers("c0");
+    simulation.runUntil(15, () -> ownerIndexOf("c0") != 0);
+    String newOwner = ClusterSimulation.controllerName(ownerIndexOf("c0"));
+    simulation.runUntil(
+        10,
+        () ->
+            simulation.cloud().workers().values().stream()
+                .allMatch(worker -> newOwner.equals(worker.controller())));
+    return newOwner;
+  }
+
+  // Guards against ran_twice: a restarted owner trusted reports sent under its former process.
+  @Test
+  void restartedOwnerIgnoresReportsSentUnderItsFormerProcess() {
+    simulation.cloud().setCapacity(2);
+    simulation.cloud().setTaskDurationSeconds(300);
+    simulation.startAllControllers();
+    submitWholeMachineJob("job-1");
+    submitWholeMachineJob("job-2");
+    FakeWorker first = awaitRunning("job-1/0");
+    final FakeWorker second = awaitRunning("job-2/0");
+    submitWholeMachineJob("job-3");
+    final String owner = awaitHandoverFromC0();
+    simulation.runFor(2);
+    final int reportOfJob1 = first.sentReportCount() - 1;
+
+    // The new owner starts the waiting task in the room that the first job has left.
+    first.endTaskNow("job-1/0");
+    assertEquals(first, awaitRunning("job-3/0"));
+    second.endTaskNow("job-2/0");
+    simulation.runFor(3);
+
+    final long versionBefore = versionOf("c0");
+    simulation.killController(owner);
+    first.setOutboundCut(true);
+    simulation.runFor(0.5);
+    simulation.startController(owner);
+    simulation.runUntil(5, () -> user.send(owner, "GET", "/ready", null).status() == 200);
+    first.resendReport(reportOfJob1, owner);
+    simulation.runFor(4);
+    first.setOutboundCut(false);
+    simulation.runFor(10);
+
+    assertEquals(List.of(first), simulation.cloud().workersRunning("job-3/0"));
+    assertEquals(3, launchCount(), "each task is started once");
+    assertTrue(versionOf("c0") > versionBefore, "each process owns under a version of its own");
+  }
+
+  /** The formerly failing seeds, and 1 to {@code -Drestarted.owner.seeds}, for soaks by hand. */
+  static LongStream seeds() {
+    long seedCount = Long.getLong("restarted.owner.seeds", DEFAULT_SEED_COUNT);
+    return LongStream.concat(
+            LongStream.of(FORMERLY_FAILING_SEEDS), LongStream.rangeClosed(1, seedCount))
+        .distinct();
+  }
+
+  // Guards against ran_twice and quota: a restarted owner shared a version with its former process.
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void ownersThatRestartBreakNoRule(long seed) {
+    resetSimulation(seed);
+    final Random random = new Random(seed * 7);
+    simulation.teams().put("blue", new Team("blue", 0, 0, 18, 0));
+    simulation.cloud().setCapacity(9);
+    simulation.setReportsOnChange(true);
+    simulation.setTaskDurationSeconds(averageSeconds -> 3 + 12 * random.nextDouble());
+    simulation.startAllControllers();
+    List<String> jobs = new ArrayList<>();
+    for (int i = 0; i < 12; i++) {
+      ObjectNode job =
+          SimulatedUser.jobRequest("job-" + i, 20)
+              .put("crew", i % 2 == 0 ? "blue" : "red")
+              .put("cores", i % 3 == 0 ? 4.0 : 1.5);
+      if (user.submit(ClusterSimulation.controllerName(i % 3), job) == 201) {
+        jobs.add("job-" + i);
+      }
+    }
+    simulation.runFor(8);
+    for (int round = 0; round < 4; round++) {
+      restartOwnerOfHandedOverEntity(random);
+      simulation.runFor(6 + 4 * random.nextDouble());
+    }
+    simulation.checker().faultsEnded();
+    for (String id : jobs) {
+      simulation.runUntil(300, () -> user.pollStatus("c1", id).equals("done"));
+    }
+  }
+
+  /** Has a controller hand its entity over, and restarts the new owner beside late messages. */
+  private void restartOwnerOfHandedOverEntity(Random random) {
+    int homeIndex = random.nextInt(3);
+    String home = ClusterSimulation.controllerName(homeIndex);
+    cutOffFromWorkers(home);
+    for (int step = 0; step < 40 && ownerIndexOf(home) == homeIndex; step++) {
+      simulation.runFor(0.5);
+    }
+    simulation.runFor(4 + 6 * random.nextDouble());
+    String owner = ClusterSimulation.controllerName(ownerIndexOf(home));
+    if (random.nextBoolean()) {
+      simulation.stateService().lateTransactionSeconds().put(owner, 0.5 + 4 * random.nextDouble());
+      simulation.runFor(random.nextDouble());
+    }
+    List<FakeWorker> workers = List.copyOf(simulation.cloud().workers().values());
+    List<FakeWorker> silentWorkers =
+        workers.stream().filter(worker -> random.nextInt(3) > 0).toList();
+    simulation.killController(owner);
+    simulation.stateService().lateTransactionSeconds().clear();
+    silentWorkers.forEach(worker -> worker.setOutboundCut(true));
+    simulation.runFor(0.2 + 2 * random.nextDouble());
+    simulation.startController(owner);
+    for (int step = 0; step < 12; step++) {
+      for (FakeWorker worker : workers) {
+        int oldestReport = Math.max(0, worker.sentReportCount() - MAX_REPORT_AGE);
+        if (worker.sentReportCount() > 0 && random.nextBoolean()) {
+          worker.resendReport(
+              oldestReport + random.nextInt(worker.sentReportCount() - oldestReport), owner);
+        }
+      }
+      simulation.runFor(0.25);
+    }
+    silentWorkers.forEach(worker -> worker.setOutboundCut(false));
+    simulation.networkFaults().releaseHeldMessages();
+  }
+}
