Ownership: a version that this process has given up is not owned again

For 0.6 s of a simulation two controllers held one entity, one of them under the version that it had given up.

Cause: an owner whose handover was applied with its answer lost hears of it by the new owner's announcement and gives the entity up, while its own view still has the former row. That row names it and was written by a handover to it, so the next check started to own the entity again, under the same version, with its counters at 0 and its lease valid.

The log had "gave up entity c0 with version 20: a peer announced the higher version 21", then "started to own entity c0 with version 20 at revision 11".

Change: OwnedEntities remembers the revision of the latest row under which it has owned each entity. A row that is not newer is moved to a new version on the condition of its revision, which is refused if the view is outdated; starting to own under it is a fault of the program. Why it suffices: every way to an instance goes through startOwning.

--- a/src/main/java/io/violetrail/ownership/EntityFailover.java
+++ b/src/main/java/io/violetrail/ownership/EntityFailover.java
@@ -155,14 +155,17 @@
    * count as evidence although they were sent under the former process, its late transactions would
    * still be applied, and attempt numbers and request names, which each owner counts from 1 under
    * its version, would be used twice.
+   *
+   * <p>The same holds for a version that this process has given up, for example after a peer's
+   * announcement. The row may then be outdated here, and the move is refused if it is.
    */
   private void resumeOwnership(EntityRow row) {
-    if (isHandoverToThisProcess(row)) {
+    if (isUnusedHandover(row)) {
       ownedEntities.startOwning(row, true);
       return;
     }
     LOG.info(
-        "entity {}: version {} at revision {} was not handed over to this process;"
+        "entity {}: version {} at revision {} may have been used by this controller before;"
             + " moving the entity to a new version",
         row.entity(),
         row.version(),
@@ -171,14 +174,15 @@
   }
 
   /**
-   * Returns whether the row records a handover to this process, so that no former process has acted
-   * under its version. The version of a row that an earlier release wrote may be too low to serve
-   * as a fencing token.
+   * Returns whether the row records a handover to this process, and neither a former process nor an
+   * earlier ownership of this process has acted under its version. The version of a row that an
+   * earlier release wrote may be too low to serve as a fencing token.
    */
-  private boolean isHandoverToThisProcess(EntityRow row) {
+  private boolean isUnusedHandover(EntityRow row) {
     return row.acquiredGracefully()
         && row.version().isFencingToken()
-        && registration.wasRegisteredBefore(row);
+        && registration.wasRegisteredBefore(row)
+        && !ownedEntities.hasOwnedUnder(row);
   }
 
   private void requestHandback(ControllerId owner) {
--- a/src/main/java/io/violetrail/ownership/OwnedEntities.java
+++ b/src/main/java/io/violetrail/ownership/OwnedEntities.java
@@ -32,6 +32,9 @@
   private final Membership.Listener listener;
   private final Map<ControllerId, OwnedEntity> entitiesById = new HashMap<>();
 
+  /** By entity: the revision of the latest row under which this process has owned it. */
+  private final Map<ControllerId, Long> latestOwnedRevisions = new HashMap<>();
+
   OwnedEntities(
       Settings settings,
       EventLoop loop,
@@ -59,8 +62,23 @@
     return List.copyOf(entitiesById.values());
   }
 
-  /** Adds an entity whose row, as read or written, names this controller; notifies the listener. */
+  /** Returns whether this process owns or has owned the entity under this row or a later one. */
+  boolean hasOwnedUnder(EntityRow row) {
+    return latestOwnedRevisions.getOrDefault(row.entity(), 0L) >= row.modRevision();
+  }
+
+  /**
+   * Adds an entity whose row, as read or written, names this controller; notifies the listener.
+   *
+   * @throws IllegalStateException if this process has owned the entity under this row or a later
+   *     one, which is a fault of the program: each ownership needs a version of its own
+   */
   void startOwning(EntityRow row, boolean acquiredGracefully) {
+    if (hasOwnedUnder(row)) {
+      throw new IllegalStateException(
+          "entity " + row.entity() + " was already owned under version " + row.version());
+    }
+    latestOwnedRevisions.put(row.entity(), row.modRevision());
     clusterView.apply(
         new RowChange(
             StateSchema.entityKey(row.entity()),
--- a/src/test/java/io/violetrail/simulation/RestartedOwnerTest.java
+++ b/src/test/java/io/violetrail/simulation/RestartedOwnerTest.java
@@ -8,6 +8,9 @@
 import io.violetrail.fakes.ClusterSimulation;
 import io.violetrail.fakes.FakeWorker;
 import io.violetrail.fakes.SimulatedUser;
+import io.violetrail.model.ControllerId;
+import io.violetrail.ownership.Membership;
+import io.violetrail.ownership.OwnedEntity;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
@@ -103,6 +106,43 @@
     assertTrue(versionOf("c0") > versionBefore, "each process owns under a version of its own");
   }
 
+  // Guards against an owner that acts again under a version that it has given up.
+  @Test
+  void ownerDoesNotTakeBackAnEntityUnderVersionThatItHasGivenUp() {
+    simulation.cloud().setTaskDurationSeconds(300);
+    simulation.startAllControllers();
+    submitWholeMachineJob("job-1");
+    awaitRunning("job-1/0");
+    simulation.runFor(2);
+    final Membership membership = simulation.controllers().get("c0").membership();
+    final ControllerId entity = new ControllerId("c0");
+
+    // c0 has its entity by a handback, as after any failure of its own.
+    membership.handOver(membership.findOwnedEntity(entity), new ControllerId("c1"));
+    simulation.runUntil(3, () -> ownerIndexOf("c0") == 1);
+    simulation.runUntil(10, () -> ownerIndexOf("c0") == 0);
+    simulation.runFor(2);
+    final long givenUpVersion = versionOf("c0");
+
+    // The answer to the handover is lost and c0's watch is late, so c0 hears of its outcome first
+    // by
+    // the new owner's announcement, while its view still has the former row.
+    simulation.networkFaults().holdMessages(message -> message.matches("c0 state GET /changes.*"));
+    simulation.runFor(21);
+    simulation.stateService().lostReplyShare().put("c0", 1.0);
+    simulation.stateService().setReplyDelaySeconds(0.4);
+    membership.handOver(membership.findOwnedEntity(entity), new ControllerId("c1"));
+    simulation.runUntil(3, () -> ownerIndexOf("c0") == 1);
+    simulation.runUntil(3, () -> membership.findOwnedEntity(entity) == null);
+    for (int step = 0; step < 100; step++) {
+      simulation.runFor(0.05);
+      OwnedEntity owned = membership.findOwnedEntity(entity);
+      assertTrue(
+          owned == null || owned.row().version().value() > givenUpVersion,
+          "version " + givenUpVersion + " was given up");
+    }
+  }
+
   /** The formerly failing seeds, and 1 to {@code -Drestarted.owner.seeds}, for soaks by hand. */
   static LongStream seeds() {
     long seedCount = Long.getLong("restarted.owner.seeds", DEFAULT_SEED_COUNT);
