Fakes: attempts launched on two machines and reused names of rental requests are reported

Change: InvariantChecker reports an attempt that is launched on a second machine (gangs left out: a replacement completes its gang under the same number), FakeCloud a request name that comes again with other contents.

--- a/src/test/java/io/violetrail/fakes/FakeCloud.java
+++ b/src/test/java/io/violetrail/fakes/FakeCloud.java
@@ -23,6 +23,7 @@
   private final Map<String, FakeWorker> workers = new LinkedHashMap<>();
   private final List<MachineType> machineTypes = new ArrayList<>();
   private final Map<String, List<String>> machinesByRequest = new HashMap<>();
+  private final Map<String, ObjectNode> requestsByName = new HashMap<>();
   private int capacity = 20;
   private boolean unavailable;
 
@@ -195,8 +196,19 @@
     return workers.size() < capacity && !soldOutTypes.contains(request.get("hosttype").asText());
   }
 
+  /** Checks that a request under a known name is a repetition: names must never be reused. */
+  private void checkRequestNameIsUnique(String requestName, ObjectNode request) {
+    ObjectNode former = requestsByName.putIfAbsent(requestName, request);
+    if (former != null && !former.equals(request)) {
+      simulation
+          .checker()
+          .reportViolation("reused_request", requestName + " was " + former + ", is " + request);
+    }
+  }
+
   private void rentMachines(ObjectNode request, Consumer<HttpResponse> done) {
     String requestName = request.get("hire").asText();
+    checkRequestNameIsUnique(requestName, request);
     List<String> machineIds = machinesByRequest.get(requestName);
     if (machineIds == null) {
       machineIds = new ArrayList<>();
--- a/src/test/java/io/violetrail/fakes/FakeWorker.java
+++ b/src/test/java/io/violetrail/fakes/FakeWorker.java
@@ -592,6 +592,7 @@
         LocalTask launched = new LocalTask();
         launched.taskId = taskId;
         launched.attempt = command.get("try").asLong();
+        simulation.checker().recordLaunch(this, taskId, launched.attempt);
         launched.status = "fetching";
         putTask(launched);
         if (imageFetchSeconds > 0) {
--- a/src/test/java/io/violetrail/fakes/InvariantChecker.java
+++ b/src/test/java/io/violetrail/fakes/InvariantChecker.java
@@ -40,6 +40,9 @@
   /** Task starts after the job's confirmed cancellation, which {@code cancel_s} still allows. */
   private int startsAfterCancellation;
 
+  /** The machine on which an attempt was first launched, by "task attempt number". */
+  private final Map<String, String> workerByAttempt = new HashMap<>();
+
   private final LivenessChecker liveness;
 
   private final RunningTasks runningTasks = new RunningTasks(this::resourcesOfJob);
@@ -271,6 +274,24 @@
         .add(Integer.parseInt(task.substring(task.indexOf('/') + 1)));
   }
 
+  /**
+   * Checks that an attempt is not launched on a second machine. Tasks of gangs are left out: a
+   * replacement completes its gang under the same attempt number.
+   */
+  void recordLaunch(FakeWorker worker, String task, long attempt) {
+    ObjectNode job = submissions.get(jobOf(task));
+    if (job == null || job.path("shape").asText().equals("ensemble")) {
+      return;
+    }
+    String former = workerByAttempt.putIfAbsent(task + " attempt " + attempt, worker.id());
+    if (former != null && !former.equals(worker.id())) {
+      reportViolation(
+          "reused_attempt",
+          "attempt %d of task %s is launched on %s and was launched on %s"
+              .formatted(attempt, task, worker.id(), former));
+    }
+  }
+
   /** Checks the rules for a task that a worker is about to start. */
   public void recordTaskStart(FakeWorker worker, String task) {
     for (FakeWorker holder : List.copyOf(runningTasks.workersRunning(task))) {
--- a/src/test/java/io/violetrail/fakes/InvariantCheckerTest.java
+++ b/src/test/java/io/violetrail/fakes/InvariantCheckerTest.java
@@ -15,6 +15,7 @@
   private final ClusterSimulation simulation = new ClusterSimulation(1, 1);
   private final FakeWorker firstWorker = simulation.cloud().addRunningMachine("plain", "a");
   private final FakeWorker secondWorker = simulation.cloud().addRunningMachine("plain", "b");
+  private long attemptCount;
 
   private void recordExchange(
       String method, String path, ObjectNode body, int status, String jobStatus) {
@@ -36,8 +37,14 @@
     assertEquals(List.of(), simulation.violations());
   }
 
+  /** Launches the task under an attempt number of its own, the first one being 1. */
   private void launch(FakeWorker worker, String task) {
-    worker.executeCommand(Cbor.newMap().put("verb", "launch").put("piece", task).put("try", 1));
+    launch(worker, task, ++attemptCount);
+  }
+
+  private static void launch(FakeWorker worker, String task, long attempt) {
+    worker.executeCommand(
+        Cbor.newMap().put("verb", "launch").put("piece", task).put("try", attempt));
   }
 
   private void assertViolated(String rule) {
@@ -55,6 +62,36 @@
     assertViolated("ran_twice");
   }
 
+  @Test
+  void attemptLaunchedOnTwoWorkersIsReportedExceptForGangs() {
+    acceptJob(SimulatedUser.jobRequest("job-1", 1));
+    acceptJob(SimulatedUser.jobRequest("job-2", 2).put("shape", "ensemble"));
+    launch(firstWorker, "job-2/0", 7);
+    firstWorker.destroy();
+    launch(secondWorker, "job-2/0", 7);
+    launch(firstWorker, "job-1/0", 8);
+    assertEquals(List.of(), simulation.violations());
+    firstWorker.destroy();
+    launch(secondWorker, "job-1/0", 8);
+    assertViolated("reused_attempt");
+    assertEquals(1, simulation.violations().size(), simulation.violations().toString());
+  }
+
+  @Test
+  void requestNameUsedForAnotherRequestIsReported() {
+    ObjectNode request = Cbor.newMap().put("hire", "r-1").put("hosttype", "plain").put("yard", "a");
+    request.put("loaners", false).put("count", 1);
+    rent(request);
+    rent(request);
+    assertEquals(List.of(), simulation.violations());
+    rent(request.put("yard", "b"));
+    assertViolated("reused_request");
+  }
+
+  private void rent(ObjectNode request) {
+    simulation.cloud().handle("POST", "c0 /hosts", Cbor.encode(request), reply -> {});
+  }
+
   @Test
   void teamAboveItsQuotaIsReported() {
     simulation.teams().put("red", new Team("red", 0, 0, 1.5, 0));
