Scale-out requests: a late end of a write removes only its own request; the invariant of a version is stated

Cause: read while looking for what ends late under another ownership: three ways forget a request by its name, also when a later ownership of the same process has resumed the request of that name from its row. Not reproduced: it needs a write whose outcome stays unknown through a failover and a handback. Its effect would be a row that only the next owner removes. Change: one method that removes exactly the given request.

--- a/src/main/java/io/violetrail/fleet/ScaleOutRequests.java
+++ b/src/main/java/io/violetrail/fleet/ScaleOutRequests.java
@@ -96,13 +96,21 @@
                     request.markStored();
                     sendRequest(request);
                   } else {
-                    requestsByName.remove(request.name());
+                    forget(request);
                     membership.relist();
                   }
                 }),
         "store a scale-out request");
   }
 
+  /**
+   * Removes exactly this request. A later ownership of the entity may have resumed the request of
+   * the same name from its row by the time that a write of this one ends.
+   */
+  private void forget(ScaleOutRequest request) {
+    requestsByName.remove(request.name(), request);
+  }
+
   private static String rowKey(ScaleOutRequest request) {
     return StateSchema.scaleOutRequestPrefix(request.entity().id()) + request.name();
   }
@@ -219,7 +227,7 @@
                   request.markRecorded();
                   membership.notifyRowsChanged();
                   if (entity.phase() == OwnedEntity.Phase.LOST) {
-                    requestsByName.remove(request.name());
+                    forget(request);
                   } else {
                     removeRow(request);
                   }
@@ -244,7 +252,7 @@
     Futures.logFailure(
         store
             .commit(request.entity().fencedTransaction().delete(rowKey(request)))
-            .whenComplete((outcome, failure) -> requestsByName.remove(request.name())),
+            .whenComplete((outcome, failure) -> forget(request)),
         "remove a scale-out request");
   }
 
--- a/src/main/java/io/violetrail/ownership/OwnedEntity.java
+++ b/src/main/java/io/violetrail/ownership/OwnedEntity.java
@@ -33,6 +33,9 @@
  * <p>The following invariants hold:
  *
  * <ul>
+ *   <li>No other instance, of this or a former process, has acted under the same row and version.
+ *       Attempt numbers and scale-out request ids, which are counted from 1, are therefore unique,
+ *       and a report whose fencing token is the version was sent under this ownership.
  *   <li>The row of an instance never changes. Its version is a lower bound of every fencing token
  *       that the instance issues. Every {@link #fencedTransaction} is conditional on the row's
  *       revision, so the state service refuses it if the entity has moved since.
@@ -242,12 +245,12 @@
     return new Transaction().ifRevision(StateSchema.entityKey(id()), row.modRevision());
   }
 
-  /** Returns an attempt number that no owner has used before. It is prefixed by the version. */
+  /** Returns an attempt number that was never used before. It is prefixed by the version. */
   public long nextAttemptId() {
     return row.version().value() * MAX_ATTEMPTS_PER_VERSION + ++attemptCount;
   }
 
-  /** Returns a scale-out request id that no owner has used before. */
+  /** Returns a scale-out request id that was never used before. It contains the version. */
   public String nextScaleOutRequestId() {
     return id() + "-" + row.version() + "-" + ++scaleOutRequestCount;
   }
