Tests: restarted owners beside gangs, cancellations, failovers, freezes and lost replies

The filter that cuts a controller off from its workers stood in two tests and is NetworkFaults' now.

--- a/src/test/java/io/violetrail/fakes/NetworkFaults.java
+++ b/src/test/java/io/violetrail/fakes/NetworkFaults.java
@@ -40,6 +40,17 @@
     holdFilter = filter;
   }
 
+  /**
+   * Holds back workers' reports to the controller and its status requests to them, until {@link
+   * #releaseHeldMessages}. All other messages to and from the controller pass.
+   */
+  public void cutOffFromWorkers(String controller) {
+    holdMessages(
+        message ->
+            message.matches("vm-\\d+ " + controller + " POST /agent/beat.*")
+                || message.matches(controller + " vm-\\d+ GET /status.*"));
+  }
+
   /** Cuts a controller off from the state service and its peers, but not from workers or users. */
   public void isolateFromStateAndPeers(String name) {
     lossFilter =
--- a/src/test/java/io/violetrail/simulation/ControllerPartitionTest.java
+++ b/src/test/java/io/violetrail/simulation/ControllerPartitionTest.java
@@ -23,12 +23,7 @@
     user.submit("c0", SimulatedUser.jobRequest("job-1", 24).put("guess_s", 60.0));
     simulation.runUntil(20, () -> launchCount() == 24);
     simulation.runFor(2);
-    simulation
-        .networkFaults()
-        .holdMessages(
-            message ->
-                message.matches("vm-\\d+ c0 POST /agent/beat.*")
-                    || message.matches("c0 vm-\\d+ GET /status.*"));
+    simulation.networkFaults().cutOffFromWorkers("c0");
     simulation.runUntil(7, () -> ownerIndexOf("c0") != 0);
     simulation.runFor(20);
     assertTrue(ownerIndexOf("c0") != 0, "the entity must not return while no worker reaches c0");
--- a/src/test/java/io/violetrail/simulation/RestartedOwnerTest.java
+++ b/src/test/java/io/violetrail/simulation/RestartedOwnerTest.java
@@ -28,13 +28,17 @@
   private static final double WHOLE_MACHINE_CPUS = 8;
 
   /** Seeds that violated an invariant before owners got a version for each of their processes. */
-  private static final long[] FORMERLY_FAILING_SEEDS = {60, 96, 122, 127, 138, 140};
+  private static final long[] FORMERLY_FAILING_SEEDS = {6, 19, 53, 57, 96, 97, 138, 183, 190, 195};
 
-  private static final long DEFAULT_SEED_COUNT = 6;
+  private static final long DEFAULT_SEED_COUNT = 5;
 
   /** How many of a worker's latest reports may arrive again. */
   private static final int MAX_REPORT_AGE = 10;
 
+  private static final int JOB_COUNT = 12;
+
+  private final List<String> acceptedJobs = new ArrayList<>();
+
   RestartedOwnerTest() {
     super(41);
   }
@@ -47,18 +51,9 @@
             SimulatedUser.jobRequest(id, 1).put("cores", WHOLE_MACHINE_CPUS).put("guess_s", 60.0)));
   }
 
-  private void cutOffFromWorkers(String controller) {
-    simulation
-        .networkFaults()
-        .holdMessages(
-            message ->
-                message.matches("vm-\\d+ " + controller + " POST /agent/beat.*")
-                    || message.matches(controller + " vm-\\d+ GET /status.*"));
-  }
-
   /** Cuts c0 off from its workers, and returns the controller to which c0 hands its entity over. */
   private String awaitHandoverFromC0() {
-    cutOffFromWorkers("c0");
+    simulation.networkFaults().cutOffFromWorkers("c0");
     simulation.runUntil(15, () -> ownerIndexOf("c0") != 0);
     String newOwner = ClusterSimulation.controllerName(ownerIndexOf("c0"));
     simulation.runUntil(
@@ -155,31 +150,115 @@
   @ParameterizedTest
   @MethodSource("seeds")
   void ownersThatRestartBreakNoRule(long seed) {
-    resetSimulation(seed);
     final Random random = new Random(seed * 7);
+    startWithWaitingJobs(seed, random, false);
+    for (int round = 0; round < 4; round++) {
+      restartOwnerOfHandedOverEntity(random);
+      simulation.runFor(6 + 4 * random.nextDouble());
+    }
+    awaitAllEnded();
+  }
+
+  // Guards against the same beside gangs, cancellations, failovers, freezes and lost replies.
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void ownersThatRestartBesideOtherFaultsBreakNoRule(long seed) {
+    final Random random = new Random(seed * 11);
+    startWithWaitingJobs(seed, random, true);
+    for (int round = 0; round < 5; round++) {
+      setRandomTransactionFaults(random);
+      if (random.nextInt(3) == 0) {
+        cancelWithoutWaiting(randomController(random), "job-" + random.nextInt(JOB_COUNT));
+      }
+      switch (random.nextInt(4)) {
+        case 0 -> restartOwnerOfHandedOverEntity(random);
+        case 1 ->
+            restartBesideLateReports(
+                randomController(random), 0.1 + 3 * random.nextDouble(), random);
+        case 2 -> restartSuccessor(random);
+        default -> restartBesideFrozenPeer(random);
+      }
+      simulation.runFor(3 + 6 * random.nextDouble());
+    }
+    simulation.stateService().lostReplyShare().clear();
+    simulation.stateService().lateTransactionShare().clear();
+    simulation.runFor(15);
+    awaitAllEnded();
+  }
+
+  private void startWithWaitingJobs(long seed, Random random, boolean withGangs) {
+    resetSimulation(seed);
     simulation.teams().put("blue", new Team("blue", 0, 0, 18, 0));
     simulation.cloud().setCapacity(9);
     simulation.setReportsOnChange(true);
     simulation.setTaskDurationSeconds(averageSeconds -> 3 + 12 * random.nextDouble());
     simulation.startAllControllers();
-    List<String> jobs = new ArrayList<>();
-    for (int i = 0; i < 12; i++) {
+    for (int i = 0; i < JOB_COUNT; i++) {
+      boolean gang = withGangs && i % 4 == 3;
       ObjectNode job =
-          SimulatedUser.jobRequest("job-" + i, 20)
+          SimulatedUser.jobRequest("job-" + i, gang ? 4 : 20)
+              .put("shape", gang ? "ensemble" : "batch")
+              .put("one_zone", gang)
               .put("crew", i % 2 == 0 ? "blue" : "red")
               .put("cores", i % 3 == 0 ? 4.0 : 1.5);
       if (user.submit(ClusterSimulation.controllerName(i % 3), job) == 201) {
-        jobs.add("job-" + i);
+        acceptedJobs.add("job-" + i);
       }
     }
     simulation.runFor(8);
-    for (int round = 0; round < 4; round++) {
-      restartOwnerOfHandedOverEntity(random);
-      simulation.runFor(6 + 4 * random.nextDouble());
+  }
+
+  private static String randomController(Random random) {
+    return ClusterSimulation.controllerName(random.nextInt(3));
+  }
+
+  /** Lets a share of some controllers' transactions be carried out late or lose their replies. */
+  private void setRandomTransactionFaults(Random random) {
+    simulation.stateService().lostReplyShare().clear();
+    simulation.stateService().lateTransactionShare().clear();
+    if (random.nextBoolean()) {
+      simulation
+          .stateService()
+          .lostReplyShare()
+          .put(randomController(random), 0.4 * random.nextDouble());
+    }
+    if (random.nextBoolean()) {
+      simulation
+          .stateService()
+          .lateTransactionShare()
+          .put(randomController(random), 0.4 * random.nextDouble());
+    }
+  }
+
+  /** Ends a controller until a peer has taken its entity over, then restarts that peer. */
+  private void restartSuccessor(Random random) {
+    int homeIndex = random.nextInt(3);
+    String home = ClusterSimulation.controllerName(homeIndex);
+    simulation.killController(home);
+    for (int step = 0; step < 40 && ownerIndexOf(home) == homeIndex; step++) {
+      simulation.runFor(0.25);
+    }
+    simulation.runFor(8 * random.nextDouble());
+    String successor = ClusterSimulation.controllerName(ownerIndexOf(home));
+    if (!successor.equals(home)) {
+      restartBesideLateReports(successor, 0.1 + 2 * random.nextDouble(), random);
     }
+    simulation.startController(home);
+  }
+
+  private void restartBesideFrozenPeer(Random random) {
+    int index = random.nextInt(3);
+    simulation.freezeController(
+        ClusterSimulation.controllerName(index), 2 + 8 * random.nextDouble());
+    simulation.runFor(6 * random.nextDouble());
+    restartBesideLateReports(
+        ClusterSimulation.controllerName((index + 1) % 3), 0.1 + 2 * random.nextDouble(), random);
+  }
+
+  private void awaitAllEnded() {
     simulation.checker().faultsEnded();
-    for (String id : jobs) {
-      simulation.runUntil(300, () -> user.pollStatus("c1", id).equals("done"));
+    for (String id : acceptedJobs) {
+      simulation.runUntil(300, () -> user.pollStatus("c1", id).matches("done|cancelled"));
     }
   }
 
@@ -187,7 +266,7 @@
   private void restartOwnerOfHandedOverEntity(Random random) {
     int homeIndex = random.nextInt(3);
     String home = ClusterSimulation.controllerName(homeIndex);
-    cutOffFromWorkers(home);
+    simulation.networkFaults().cutOffFromWorkers(home);
     for (int step = 0; step < 40 && ownerIndexOf(home) == homeIndex; step++) {
       simulation.runFor(0.5);
     }
@@ -197,13 +276,22 @@
       simulation.stateService().lateTransactionSeconds().put(owner, 0.5 + 4 * random.nextDouble());
       simulation.runFor(random.nextDouble());
     }
+    restartBesideLateReports(owner, 0.2 + 2 * random.nextDouble(), random);
+    simulation.networkFaults().releaseHeldMessages();
+  }
+
+  /**
+   * Restarts a controller while some workers are silent, and lets reports from before arrive at the
+   * new process.
+   */
+  private void restartBesideLateReports(String owner, double downSeconds, Random random) {
     List<FakeWorker> workers = List.copyOf(simulation.cloud().workers().values());
     List<FakeWorker> silentWorkers =
         workers.stream().filter(worker -> random.nextInt(3) > 0).toList();
     simulation.killController(owner);
     simulation.stateService().lateTransactionSeconds().clear();
     silentWorkers.forEach(worker -> worker.setOutboundCut(true));
-    simulation.runFor(0.2 + 2 * random.nextDouble());
+    simulation.runFor(downSeconds);
     simulation.startController(owner);
     for (int step = 0; step < 12; step++) {
       for (FakeWorker worker : workers) {
@@ -216,6 +304,5 @@
       simulation.runFor(0.25);
     }
     silentWorkers.forEach(worker -> worker.setOutboundCut(false));
-    simulation.networkFaults().releaseHeldMessages();
   }
 }
