--- a/src/test/java/io/violetrail/simulation/RestartedOwnerTest.java
+++ b/src/test/java/io/violetrail/simulation/RestartedOwnerTest.java
@@ -138,7 +138,11 @@
     }
   }
 
-  /** The formerly failing seeds, and 1 to {@code -Drestarted.owner.seeds}, for soaks by hand. */
+  /**
+   * Returns the formerly failing seeds and those from 1 to the property {@code
+   * restarted.owner.seeds}. A soak by hand sets it: {@code mvn -Dtest=RestartedOwnerTest
+   * -DargLine=-Drestarted.owner.seeds=600 test}.
+   */
   static LongStream seeds() {
     long seedCount = Long.getLong("restarted.owner.seeds", DEFAULT_SEED_COUNT);
     return LongStream.concat(
