--- a/src/test/java/io/violetrail/simulation/RestartedOwnerTest.java
+++ b/src/test/java/io/violetrail/simulation/RestartedOwnerTest.java
@@ -20,8 +20,8 @@
 import org.junit.jupiter.params.provider.MethodSource;
 
 /**
- * Tests controllers whose process ends and is started again while the row of an entity that a peer
- * has handed over to them still names them as its owner.
+ * Tests controllers that find an entity's row that names them although they do not own the entity:
+ * after their process was restarted, or after they have given the entity up on a peer's word.
  */
 class RestartedOwnerTest extends SimulationTestBase {
   /** A task of this size occupies a whole machine. */
@@ -119,9 +119,8 @@
     simulation.runFor(2);
     final long givenUpVersion = versionOf("c0");
 
-    // The answer to the handover is lost and c0's watch is late, so c0 hears of its outcome first
-    // by
-    // the new owner's announcement, while its view still has the former row.
+    // The handover's reply is lost and c0's watch is late. c0 therefore first hears of the outcome
+    // by the new owner's announcement, while its view still has the former row.
     simulation.networkFaults().holdMessages(message -> message.matches("c0 state GET /changes.*"));
     simulation.runFor(21);
     simulation.stateService().lostReplyShare().put("c0", 1.0);
@@ -163,7 +162,7 @@
     awaitAllEnded();
   }
 
-  // Guards against the same beside gangs, cancellations, failovers, freezes and lost replies.
+  // Guards against ran_twice after restarts beside gangs, cancellations, failovers and freezes.
   @ParameterizedTest
   @MethodSource("seeds")
   void ownersThatRestartBesideOtherFaultsBreakNoRule(long seed) {
