--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../run-2.sh" "$(dirname "$0")" sick
+exec "$(dirname "$0")/../run-2.sh" "$(dirname "$0")" apart
--- a/review/standins-2/Cases.java
+++ b/review/standins-2/Cases.java
@@ -29,8 +29,7 @@
   }
 
   public static void main(String[] args) throws IOException {
-    World world = new World(
-            args[0].equals("sick") ? World.Site.MITA_HUB : World.Site.QUIZDECK_OPS, Path.of(args[1]));
+    World world = new World(Path.of(args[1]));
     int verdict;
     try {
       world.start();
@@ -49,7 +48,6 @@
       case "service" -> serviceCountsAsFreeRoom();
       case "apart" -> lostReplicaOfJobThatIsSpread();
       case "accelerators" -> processorJobBesideAcceleratorJobs();
-      case "sick" -> jobAvoidsMachineThatRecovered();
       case "tiny" -> manyTinyTasks();
       case "wide" -> wideJobs();
       default -> throw new IllegalArgumentException(name);
@@ -104,6 +102,7 @@
     }
     while (world.now() < until) {
       world.poll((int) (world.now() / 5) % 3, id);
+      world.log("workers: %d tasks of %s run", running(id), id);
       if (waitFor(Math.min(5, until - world.now()), condition)) {
         return true;
       }
@@ -112,10 +111,10 @@
   }
 
   private boolean serviceCountsAsFreeRoom() throws IOException {
-    ObjectNode job = world.job("job-000101", "recall-train", "batch", 8, 4);
+    ObjectNode job = World.job("job-000101", "recall-train", "batch", 8, 4);
     submit(job.put("loaners", true), 40);
     require(25, "all tasks of job-000101 run", () -> running("job-000101") == 8);
-    submit(world.job("job-000102", "card-server", "daemon", 8, 4), 1e9);
+    submit(World.job("job-000102", "card-server", "daemon", 8, 4), 1e9);
     require(25, "all replicas of job-000102 run", () -> running("job-000102") == 8);
     if (TROUBLE) {
       world.cloud.take(machineOf("job-000101"));
@@ -139,14 +138,14 @@
 
   private boolean lostReplicaOfJobThatIsSpread() throws IOException {
     submit(
-        world.job("job-000201", "deck-check", "batch", 1, 2).put("yard", "millrow").put("loaners", true),
+        World.job("job-000201", "deck-check", "batch", 1, 2).put("yard", "millrow").put("loaners", true),
         7);
-    submit(world.job("job-000202", "deck-check", "batch", 1, 2).put("yard", "harbour"), 7);
+    submit(World.job("job-000202", "deck-check", "batch", 1, 2).put("yard", "harbour"), 7);
     require(
         25,
         "a machine is up in each of two zones",
         () -> running("job-000201") == 1 && running("job-000202") == 1);
-    ObjectNode service = world.job("job-000203", "card-server", "daemon", 2, 4);
+    ObjectNode service = World.job("job-000203", "card-server", "daemon", 2, 4);
     submit(service.put("apart", true).put("loaners", true), 1e9);
     require(20, "both replicas of job-000203 run", () -> running("job-000203") == 2);
     require(
@@ -173,17 +172,17 @@
   }
 
   private boolean processorJobBesideAcceleratorJobs() throws IOException {
-    submit(world.job("job-000301", "card-server", "daemon", 1, 40), 1e9);
+    submit(World.job("job-000301", "card-server", "daemon", 1, 40), 1e9);
     require(20, "job-000301 runs", () -> running("job-000301") == 1);
     Worker machine = machineOf("job-000301");
     if (TROUBLE) {
       for (int i = 0; i < 3; i++) {
-        ObjectNode job = world.job("job-00031" + i, "recall-train", "batch", 2, 6);
+        ObjectNode job = World.job("job-00031" + i, "recall-train", "batch", 2, 6);
         job.put("gpus", 1.0).put("mem_gb", 24.0).putArray("hosttypes").add("glint16");
         submit(job.put("loaners", true), 2);
       }
     }
-    submit(world.job("job-000302", "corpus-scan", "batch", 1, 40), 5);
+    submit(World.job("job-000302", "corpus-scan", "batch", 1, 40), 5);
     if (TROUBLE) {
       require(
           25,
@@ -198,30 +197,9 @@
     return !ran && machine.isUp();
   }
 
-  private boolean jobAvoidsMachineThatRecovered() throws IOException {
-    submit(world.job("job-000401", "reading-server", "daemon", 1, 4), 1e9);
-    require(20, "job-000401 runs", () -> running("job-000401") == 1);
-    Worker machine = machineOf("job-000401");
-    if (TROUBLE) {
-      machine.sick = true;
-      world.log("%s fails every task that it starts", machine.name);
-    }
-    submit(world.job("job-000402", "photo-check", "batch", 1, 4), 3);
-    if (TROUBLE) {
-      World.sleep(8);
-      machine.sick = false;
-      world.log("%s runs tasks again", machine.name);
-    }
-    boolean ran = pollUntil(WAIT_S, "job-000402", () -> isDone("job-000402"));
-    world.poll(0, "job-000402");
-    world.log("%s is up: %b, its free processors: %.0f", machine.name, machine.isUp(),
-        machine.freeCpus());
-    return !ran && machine.isUp();
-  }
-
   private boolean manyTinyTasks() throws IOException {
     int pieces = TROUBLE ? 3000 : 400;
-    ObjectNode job = world.job("job-000501", "corpus-scan", "batch", pieces, 0.01);
+    ObjectNode job = World.job("job-000501", "corpus-scan", "batch", pieces, 0.01);
     submit(job.put("mem_gb", 0.01), 20);
     boolean done = pollUntil(WAIT_S, "job-000501", () -> isDone("job-000501"));
     world.poll(0, "job-000501");
@@ -235,7 +213,7 @@
   }
 
   private boolean wideJobs() throws IOException {
-    submit(world.job("job-000601", "deck-check", "batch", 8, 4), 300);
+    submit(World.job("job-000601", "deck-check", "batch", 8, 4), 300);
     require(20, "all tasks of job-000601 run", () -> running("job-000601") == 8);
     double cpus = 0.001;
     AtomicInteger acceptedCount = new AtomicInteger();
@@ -243,7 +221,7 @@
     for (int i = 0; i < (TROUBLE ? 12 : 3); i++) {
       int number = i;
       ObjectNode job =
-          world.job("job-0006%02d".formatted(10 + i), "corpus-scan", "batch",
+          World.job("job-0006%02d".formatted(10 + i), "corpus-scan", "batch",
               TROUBLE ? 100_000 : 100, cpus);
       job.put("mem_gb", cpus / 2);
       users.add(
@@ -279,6 +257,7 @@
           answeredAt = world.now();
         }
       }
+      world.log("workers: %d tasks of job-000601 run", running("job-000601"));
       longestSilence = Math.max(longestSilence, world.now() - answeredAt);
       World.sleep(Math.min(3, Math.max(0, until - world.now())));
     }
--- a/review/standins-2/Worker.java
+++ b/review/standins-2/Worker.java
@@ -35,9 +35,6 @@
   private double leaseFrom;
   private boolean changed;
 
-  /** While true, every task that starts here fails. */
-  volatile boolean sick;
-
   int expiredLeases;
   int refusedReports;
   int largestReportBytes;
@@ -114,7 +111,7 @@
       }
       World.Answer answer =
           world.call(world.apiAddresses.get(target), "POST", "/agent/beat", report, 4);
-      double wait = world.site.reportSeconds * (0.75 + 0.5 * world.random.nextDouble());
+      double wait = World.REPORT_S * (0.75 + 0.5 * world.random.nextDouble());
       if (answer.status() == 200) {
         synchronized (this) {
           step();
@@ -184,7 +181,7 @@
   /** Moves the tasks and the lease to the present. */
   private void step() {
     double now = world.now();
-    if (now - leaseFrom > world.site.leaseSeconds) {
+    if (now - leaseFrom > World.LEASE_S) {
       world.log("worker %s: lease is over in session %d, %d tasks are killed", name, session,
           tasks.values().stream().filter(task -> !task.status.equals("ended")).count());
       tasks.clear();
@@ -197,16 +194,13 @@
       if (task.status.equals("fetching") && now >= task.changesAt) {
         String job = task.name.substring(0, task.name.indexOf('/'));
         task.status = "running";
-        task.changesAt = now + (sick ? 0.3 : world.cloud.runSeconds.getOrDefault(job, 1e9));
-        if (sick) {
-          task.cause = "error";
-        }
+        task.changesAt = now + world.cloud.runSeconds.getOrDefault(job, 1e9);
         changed = true;
         if (job.length() > 0 && logsTasks(job)) {
           world.log("worker %s: %s attempt %d runs", name, task.name, task.attempt);
         }
       } else if (task.status.equals("running") && now >= task.changesAt) {
-        end(task, task.cause == null ? "done" : task.cause);
+        end(task, "done");
       }
     }
   }
--- a/review/standins-2/World.java
+++ b/review/standins-2/World.java
@@ -40,122 +40,61 @@
   static final ObjectMapper CBOR = new ObjectMapper(new CBORFactory());
   private static final ObjectMapper JSON = new ObjectMapper();
 
-  /** The times, limits, teams and machine types of a deployment of the brief. */
-  enum Site {
-    QUIZDECK_OPS(
-        1, 10, "learning-lab",
-        new String[] {"harbour", "millrow", "westgate"},
-        List.of("harbour", "millrow", "fenside"),
-        """
-        zones = ["fenside", "harbour", "millrow", "westgate"]
-        time_bound_ms = 250.0
-        [[cluster.teams]]
-        name = "content-desk"
-        cpus = 304.0
-        cpus_max = 616.0
-        gpus = 0.0
-        gpus_max = 0.0
-        [[cluster.teams]]
-        name = "learning-lab"
-        cpus = 456.0
-        cpus_max = 1840.0
-        gpus = 0.0
-        gpus_max = 0.0
-        [[cluster.objectives]]
-        kind = "wait"
-        class = "deck-render"
-        within_s = 8.0
-        share = 0.78
-        [cluster.workers]
-        report_s = 1.0
-        lease_s = 10.0
-        gang_wait_s = 45.0
-        gang_peer_s = 4.0
-        cancel_s = 40.0
-        [cluster.state]
-        rps = 250.0
-        write_rps = 50.0
-        value_kb = 8.0
-        txn_ops = 24
-        [cluster.cloud]
-        rps = 1.5
-        list_lag_s = 10.0
-        [cluster.limits]
-        cpu_share = 0.22
-        memory_mb = 176.0
-        sockets = 700
-        """,
-        List.of(
-            new Flavor("ledger32", 32, 0, 64, 1.66, 0.39, 20, 0.5, 60),
-            new Flavor("glint16", 16, 2, 64, 4.59, 1.21, 60, 0.5, 100),
-            new Flavor("forge96", 96, 8, 576, 26.89, 6.52, 35, 0.2, 70))),
-    MITA_HUB(
-        2.5, 16, "field-data",
-        new String[] {"dar-room", "arusha-room", "dar-room"},
-        List.of("dar-room", "arusha-room"),
-        """
-        zones = ["arusha-room", "dar-room"]
-        time_bound_ms = 5.0
-        [[cluster.teams]]
-        name = "field-data"
-        cpus = 0.0
-        cpus_max = 0.0
-        gpus = 0.0
-        gpus_max = 0.0
-        [[cluster.objectives]]
-        kind = "wait"
-        class = "tariff-sync"
-        within_s = 10.0
-        share = 0.9
-        [cluster.workers]
-        report_s = 2.5
-        lease_s = 16.0
-        gang_wait_s = 50.0
-        gang_peer_s = 6.0
-        cancel_s = 36.0
-        [cluster.state]
-        rps = 100.0
-        write_rps = 25.0
-        value_kb = 8.0
-        txn_ops = 12
-        [cluster.cloud]
-        rps = 8.0
-        list_lag_s = 4.0
-        [cluster.limits]
-        cpu_share = 0.88
-        memory_mb = 263.0
-        sockets = 1800
-        """,
-        List.of(
-            new Flavor("shamba32", 32, 0, 64, 2, 0.47, 30, 0.4, 30),
-            new Flavor("twiga24", 24, 2, 144, 6.4, 1.46, 35, 1, 90),
-            new Flavor("tembo48", 48, 8, 384, 24.18, 5.13, 45, 0.6, 60)));
-
-    final double reportSeconds;
-    final double leaseSeconds;
-    final String team;
-    final String[] controllerZones;
-    final List<String> machineZones;
-    final String settings;
-    final List<Flavor> flavors;
-
-    Site(
-        double reportSeconds, double leaseSeconds, String team, String[] controllerZones,
-        List<String> machineZones, String settings, List<Flavor> flavors) {
-      this.reportSeconds = reportSeconds;
-      this.leaseSeconds = leaseSeconds;
-      this.team = team;
-      this.controllerZones = controllerZones;
-      this.machineZones = machineZones;
-      this.settings = settings;
-      this.flavors = flavors;
-    }
-  }
-
+  // Times, limits, teams and machine types of the first deployment of the brief (quizdeck-ops).
+  static final double REPORT_S = 1;
+  static final double LEASE_S = 10;
+  private static final String TEAM = "learning-lab";
+  private static final String[] CONTROLLER_ZONES = {"harbour", "millrow", "westgate"};
+  private static final List<String> MACHINE_ZONES = List.of("harbour", "millrow", "fenside");
+  private static final List<Flavor> FLAVORS =
+      List.of(
+          new Flavor("ledger32", 32, 0, 64, 1.66, 0.39, 20, 0.5, 60),
+          new Flavor("glint16", 16, 2, 64, 4.59, 1.21, 60, 0.5, 100),
+          new Flavor("forge96", 96, 8, 576, 26.89, 6.52, 35, 0.2, 70));
+  private static final String CLUSTER_SETTINGS =
+      """
+      [cluster]
+      nodes = 3
+      zones = ["fenside", "harbour", "millrow", "westgate"]
+      time_bound_ms = 250.0
+      [[cluster.teams]]
+      name = "content-desk"
+      cpus = 304.0
+      cpus_max = 616.0
+      gpus = 0.0
+      gpus_max = 0.0
+      [[cluster.teams]]
+      name = "learning-lab"
+      cpus = 456.0
+      cpus_max = 1840.0
+      gpus = 0.0
+      gpus_max = 0.0
+      [[cluster.objectives]]
+      kind = "wait"
+      class = "deck-render"
+      within_s = 8.0
+      share = 0.78
+      [cluster.workers]
+      report_s = 1.0
+      lease_s = 10.0
+      gang_wait_s = 45.0
+      gang_peer_s = 4.0
+      cancel_s = 40.0
+      [cluster.state]
+      rps = 250.0
+      write_rps = 50.0
+      value_kb = 8.0
+      txn_ops = 24
+      [cluster.cloud]
+      rps = 1.5
+      list_lag_s = 10.0
+      [cluster.limits]
+      cpu_share = 0.22
+      memory_mb = 176.0
+      sockets = 700
+      """;
   private static final int CONTROLLERS = 3;
 
-  final Site site;
-
   final Random random = new Random();
   private final long startNanos = System.nanoTime();
   private final PrintWriter record;
@@ -172,8 +111,7 @@
           .connectTimeout(Duration.ofSeconds(2))
           .build();
 
-  World(Site site, Path recordFile) throws IOException {
-    this.site = site;
+  World(Path recordFile) throws IOException {
     record = new PrintWriter(Files.newBufferedWriter(recordFile), true);
     folder = Files.createTempDirectory("review");
     Runtime.getRuntime().addShutdownHook(new Thread(this::endProcesses));
@@ -270,19 +208,19 @@
       int self, List<Integer> api, List<Integer> peer, int statePort, int cloudPort) {
     StringBuilder text = new StringBuilder();
     text.append("label = \"").append(labels.get(self)).append("\"\n");
-    text.append("zone = \"").append(site.controllerZones[self]).append("\"\n");
+    text.append("zone = \"").append(CONTROLLER_ZONES[self]).append("\"\n");
     text.append("api_addr = \"127.0.0.1:").append(api.get(self)).append("\"\n");
     text.append("cluster_listen = \"127.0.0.1:").append(peer.get(self)).append("\"\n");
     for (int i = 0; i < CONTROLLERS; i++) {
       if (i != self) {
         text.append("[[known]]\nlabel = \"").append(labels.get(i));
-        text.append("\"\nzone = \"").append(site.controllerZones[i]);
+        text.append("\"\nzone = \"").append(CONTROLLER_ZONES[i]);
         text.append("\"\naddress = \"127.0.0.1:").append(peer.get(i)).append("\"\n");
       }
     }
     text.append("[external]\ncloud = \"127.0.0.1:").append(cloudPort);
     text.append("\"\nstate = \"127.0.0.1:").append(statePort).append("\"\n");
-    text.append("[cluster]\nnodes = 3\n").append(site.settings);
+    text.append(CLUSTER_SETTINGS);
     return text.toString();
   }
 
@@ -346,9 +284,9 @@
   }
 
   /** A job with the values of an ordinary small array; callers change what they need. */
-  ObjectNode job(String id, String jobClass, String shape, int tasks, double cpus) {
+  static ObjectNode job(String id, String jobClass, String shape, int tasks, double cpus) {
     ObjectNode job = JSON.createObjectNode();
-    job.put("name_id", id).put("jobclass", jobClass).put("crew", site.team);
+    job.put("name_id", id).put("jobclass", jobClass).put("crew", TEAM);
     job.put("shape", shape).put("urgency", "normal").put("pieces", tasks);
     job.put("cores", cpus).put("gpus", 0.0).put("mem_gb", 1.0);
     job.put("bundle", "img-07").put("pull_gb", 0.1).putNull("hosttypes").putNull("yard");
@@ -720,13 +658,13 @@
       ObjectNode reply = CBOR.createObjectNode();
       if (path.equals("/flavors")) {
         ArrayNode list = reply.putArray("hosttypes");
-        for (Flavor flavor : site.flavors) {
+        for (Flavor flavor : FLAVORS) {
           ObjectNode item = list.addObject();
           item.put("sku", flavor.name).put("cores", flavor.cpus).put("gpus", flavor.gpus);
           item.put("mem_gb", flavor.memory).put("cache_gb", flavor.cache);
           item.put("pull_gb_per_s", flavor.fetch).put("rate", flavor.price);
           item.put("spot_price", flavor.spot).put("ready_s", flavor.boot);
-          site.machineZones.forEach(item.putArray("yards")::add);
+          MACHINE_ZONES.forEach(item.putArray("yards")::add);
         }
         return new Answer(200, reply);
       }
@@ -764,7 +702,7 @@
       if (names == null) {
         names = new ArrayList<>();
         Flavor flavor =
-            site.flavors.stream().filter(f -> f.name.equals(body.get("hosttype").asText())).findFirst()
+            FLAVORS.stream().filter(f -> f.name.equals(body.get("hosttype").asText())).findFirst()
                 .orElseThrow();
         for (int i = 0; i < body.get("count").asInt() && workers.size() < capacity; i++) {
           Worker worker =
