--- a/review/standins-2/Cases.java
+++ b/review/standins-2/Cases.java
@@ -215,7 +215,7 @@
   private boolean wideJobs() throws IOException {
     submit(World.job("job-000601", "deck-check", "batch", 8, 4), 300);
     require(20, "all tasks of job-000601 run", () -> running("job-000601") == 8);
-    double cpus = 0.001;
+    double cpus = 0.0001;
     AtomicInteger acceptedCount = new AtomicInteger();
     List<Thread> users = new ArrayList<>();
     for (int i = 0; i < (TROUBLE ? 12 : 3); i++) {
