--- a/src/main/java/io/violetrail/api/JobAdmission.java
+++ b/src/main/java/io/violetrail/api/JobAdmission.java
@@ -8,6 +8,7 @@
 import io.violetrail.model.MachineType;
 import io.violetrail.ownership.Membership;
 import io.violetrail.ownership.OwnedEntity;
+import io.violetrail.ownership.TaskCountLimit;
 import io.violetrail.state.StateStore;
 import io.violetrail.tracing.JobTracer;
 import java.util.HashSet;
@@ -195,6 +196,12 @@
           + spec.taskResources().memoryGb()
           + " GB of memory";
     }
+    if (spec.shape() == JobShape.GANG && spec.taskCount() > TaskCountLimit.MAX_PLACED_TASKS) {
+      return "the job's "
+          + spec.taskCount()
+          + " tasks must run at the same time; a gang may have at most "
+          + TaskCountLimit.MAX_PLACED_TASKS;
+    }
     int maxTaskCount = (spec.singleZone() ? 1 : zones.size()) * ((spec.taskCount() + 1) / 2);
     if (spec.spreadAcrossZones()
         && spec.shape() != JobShape.ARRAY
--- a/src/main/java/io/violetrail/fleet/Machine.java
+++ b/src/main/java/io/violetrail/fleet/Machine.java
@@ -463,6 +463,11 @@
     return tasks.freeCapacityWithoutBestEffort();
   }
 
+  /** Returns the most accelerators that one of the placed tasks uses; 0 without placements. */
+  public double largestAcceleratorUse() {
+    return tasks.largestAcceleratorUse();
+  }
+
   /** Returns the fraction of the processors or accelerators in use, whichever is higher. */
   public double utilization() {
     return tasks.utilization();
--- a/src/main/java/io/violetrail/fleet/PlacedTasks.java
+++ b/src/main/java/io/violetrail/fleet/PlacedTasks.java
@@ -25,9 +25,15 @@
   /** The number of placements that are not best-effort work. */
   private int regularTaskCount;
 
-  /** Cached, as it is read far more often than tasks change; null until computed after a change. */
+  /**
+   * Cached, as it is read far more often than tasks change. A new placement is subtracted, so that
+   * placing many tasks takes a time in proportion to their number; null after any other change.
+   */
   private Resources freeCapacity;
 
+  /** The most accelerators that one placed task uses; null until computed after a removal. */
+  private Double largestAcceleratorUse;
+
   PlacedTasks(Resources capacity) {
     this.capacity = capacity;
   }
@@ -49,11 +55,30 @@
     if (previous != null && !previous.job().bestEffort()) {
       regularTaskCount--;
     }
+    updateCachesForAddition(placement, previous);
+  }
+
+  private void updateCachesForAddition(TaskPlacement added, TaskPlacement replaced) {
+    if (replaced != null) {
+      discardCaches();
+      return;
+    }
+    Resources taskResources = added.job().spec().taskResources();
+    if (freeCapacity != null) {
+      freeCapacity = freeCapacity.minus(taskResources);
+    }
+    if (largestAcceleratorUse != null) {
+      largestAcceleratorUse = Math.max(largestAcceleratorUse, taskResources.gpus());
+    }
+  }
+
+  private void discardCaches() {
     freeCapacity = null;
+    largestAcceleratorUse = null;
   }
 
   boolean remove(TaskPlacement placement) {
-    freeCapacity = null;
+    discardCaches();
     boolean removed = placements.remove(placement.taskId(), placement);
     if (removed && !placement.job().bestEffort()) {
       regularTaskCount--;
@@ -98,6 +123,18 @@
     return new Resources(cpus, gpus, memory);
   }
 
+  /** Returns the most accelerators that one of the placed tasks uses; 0 without placements. */
+  double largestAcceleratorUse() {
+    if (largestAcceleratorUse == null) {
+      double largest = 0;
+      for (TaskPlacement placement : placements.values()) {
+        largest = Math.max(largest, placement.job().spec().taskResources().gpus());
+      }
+      largestAcceleratorUse = largest;
+    }
+    return largestAcceleratorUse;
+  }
+
   Resources freeCapacityWithoutBestEffort() {
     Resources free = freeCapacity();
     if (placements.size() > regularTaskCount) {
--- a/src/main/java/io/violetrail/fleet/ScaleOut.java
+++ b/src/main/java/io/violetrail/fleet/ScaleOut.java
@@ -91,7 +91,7 @@
     }
     for (Job job : bestEffortJobs) {
       if (!job.failureHistory().isSuspect() && !(job.loadedFromStore() && awaitingFirstReports)) {
-        plan.addDemand(job, job.unplacedCount(), false);
+        plan.addDemand(job, entity.startableCount(job, nowSeconds), false);
       }
     }
     plan.machineCountsByUrgency()
@@ -165,7 +165,8 @@
               job.spec().team(), team -> quotaTransfer.availableQuota(entity, team, nowSeconds));
       int taskCount =
           Math.min(
-              wantedTaskCount(job, nowSeconds), quota.countFitting(job.spec().taskResources()));
+              wantedTaskCount(entity, job, nowSeconds),
+              quota.countFitting(job.spec().taskResources()));
       remainingQuotas.put(
           job.spec().team(), quota.minus(job.spec().taskResources().times(taskCount)));
       plan.addDemand(job, taskCount, urgent);
@@ -189,7 +190,7 @@
             && nowSeconds - job.arrivedAtSeconds() < TransferRequests.SCALE_OUT_DELAY_SECONDS
             && clusterView.aliveControllerCount() > 1;
     boolean hasProbeMachine = job.failureHistory().isSuspect() && hasMachineForProbe(entity, job);
-    return job.startableCount(nowSeconds) == 0
+    return entity.startableCount(job, nowSeconds) == 0
         || (job.loadedFromStore() && awaitingFirstReports)
         || awaitingPeerMachines
         || hasProbeMachine;
@@ -251,8 +252,8 @@
    * Returns for how many of the job's pending tasks to rent capacity. The other tasks of an array
    * run after them on the same machines if the job's deadline allows it.
    */
-  private int wantedTaskCount(Job job, double nowSeconds) {
-    int waitingCount = job.startableCount(nowSeconds);
+  private int wantedTaskCount(OwnedEntity entity, Job job, double nowSeconds) {
+    int waitingCount = entity.startableCount(job, nowSeconds);
     if (job.spec().shape() != JobShape.ARRAY) {
       return waitingCount;
     }
--- a/src/main/java/io/violetrail/fleet/TransferRequests.java
+++ b/src/main/java/io/violetrail/fleet/TransferRequests.java
@@ -144,9 +144,10 @@
     if (allowedCount < waitingCount && job.mayHoldReservations(nowSeconds)) {
       addQuotaRequests(entity, job, quota, requests);
     }
+    int startableCount = Math.min(allowedCount, entity.startableCount(job, nowSeconds));
     // Best-effort jobs need quota like any other job, but request machines only when starving.
-    if (allowedCount > 0 && (!job.bestEffort() || job.isStarving(nowSeconds))) {
-      requests.add(machineRequest(entity, job, Math.min(waitingCount, allowedCount)));
+    if (startableCount > 0 && (!job.bestEffort() || job.isStarving(nowSeconds))) {
+      requests.add(machineRequest(entity, job, startableCount));
     }
   }
 
--- a/src/main/java/io/violetrail/ownership/OwnedEntity.java
+++ b/src/main/java/io/violetrail/ownership/OwnedEntity.java
@@ -284,6 +284,17 @@
     return total;
   }
 
+  /**
+   * Returns how many pending tasks of the job may be started now: as many as its own state and the
+   * entity's {@link TaskCountLimit} allow. Placement, scale-out and requests for other entities'
+   * machines all ask this method, so that none of them provides for tasks that another refuses.
+   */
+  public int startableCount(Job job, double nowSeconds) {
+    return Math.min(
+        job.startableCount(nowSeconds),
+        TaskCountLimit.additionalTasks(job, placementUsage.placedCount()));
+  }
+
   /** Returns whether any placed task has a lower priority than the given one. */
   public boolean hasPlacedTaskOfLowerPriority(Priority priority) {
     return placementUsage.hasTaskOfLowerPriority(priority);
--- a/src/main/java/io/violetrail/ownership/PlacementUsage.java
+++ b/src/main/java/io/violetrail/ownership/PlacementUsage.java
@@ -19,6 +19,8 @@
   /** Placed tasks by priority ordinal, to skip searches for priorities without placed tasks. */
   private final int[] placedCountByPriority = new int[Priority.values().length];
 
+  private int placedCount;
+
   private static final class TeamUsage {
     private Resources total = Resources.NONE;
     private int taskCount;
@@ -36,6 +38,11 @@
     return usage == null ? Resources.NONE : usage.total;
   }
 
+  /** Returns how many tasks are placed. */
+  int placedCount() {
+    return placedCount;
+  }
+
   /** Returns whether any placed task has a lower priority than the given one. */
   boolean hasTaskOfLowerPriority(Priority priority) {
     for (int ordinal = priority.ordinal() + 1; ordinal < placedCountByPriority.length; ordinal++) {
@@ -62,6 +69,7 @@
 
   private void count(TaskPlacement placement, int delta) {
     placement.setCountedAsUsed(delta > 0);
+    placedCount += delta;
     placedCountByPriority[placement.job().spec().priority().ordinal()] += delta;
     usageByTeam
         .computeIfAbsent(placement.job().spec().team(), team -> new TeamUsage())
--- a/src/main/java/io/violetrail/scheduling/BinPacker.java
+++ b/src/main/java/io/violetrail/scheduling/BinPacker.java
@@ -174,12 +174,9 @@
       machinesByZone.computeIfAbsent(machine.row().zone(), z -> new ArrayList<>()).add(machine);
     }
     List<Machine> bestZone = null;
-    int bestSlotCount = Integer.MAX_VALUE;
+    long bestSlotCount = Long.MAX_VALUE;
     for (List<Machine> zoneMachines : machinesByZone.values()) {
-      int slotCount = 0;
-      for (Machine machine : zoneMachines) {
-        slotCount += machine.freeCapacity().countFitting(job.spec().taskResources());
-      }
+      long slotCount = countSlots(job, zoneMachines);
       if (slotCount >= job.spec().taskCount() && slotCount < bestSlotCount) {
         bestZone = zoneMachines;
         bestSlotCount = slotCount;
@@ -188,8 +185,19 @@
     return Optional.ofNullable(bestZone);
   }
 
+  private static long countSlots(Job job, List<Machine> machines) {
+    long slotCount = 0;
+    for (Machine machine : machines) {
+      slotCount += machine.freeCapacity().countFitting(job.spec().taskResources());
+    }
+    return slotCount;
+  }
+
   private Optional<List<Machine>> planTasks(Job job, List<Machine> fittingMachines) {
     JobSpec spec = job.spec();
+    if (countSlots(job, fittingMachines) < spec.taskCount()) {
+      return Optional.empty();
+    }
     List<Machine> chosenMachines = new ArrayList<>();
     Map<String, Integer> plannedCountByZone = new HashMap<>();
     Map<Machine, Integer> plannedCountByMachine = new HashMap<>();
--- a/src/main/java/io/violetrail/scheduling/Job.java
+++ b/src/main/java/io/violetrail/scheduling/Job.java
@@ -7,6 +7,7 @@
 import io.violetrail.model.JobView.JobStatus;
 import java.util.BitSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.DoubleSupplier;
@@ -276,6 +277,16 @@
     return tasks.placements();
   }
 
+  /** Returns how many tasks are placed. */
+  public int placedCount() {
+    return tasks.placedCount();
+  }
+
+  /** Returns a copy of the numbers of placed tasks by zone; zones without any are absent. */
+  Map<String, Integer> placedCountByZone() {
+    return tasks.placedCountByZone();
+  }
+
   public boolean hasNoPlacements() {
     return tasks.hasNoPlacements();
   }
--- a/src/main/java/io/violetrail/scheduling/JobTasks.java
+++ b/src/main/java/io/violetrail/scheduling/JobTasks.java
@@ -2,7 +2,9 @@
 
 import io.violetrail.evidence.TaskDeparture;
 import java.util.BitSet;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.agrona.collections.Int2ObjectHashMap;
 
@@ -27,6 +29,9 @@
 
   private final Int2ObjectHashMap<TaskPlacement> placementsByIndex = new Int2ObjectHashMap<>();
 
+  /** Zones without placements are absent. Kept in addition, as wide jobs are asked often. */
+  private final Map<String, Integer> placedCountByZone = new HashMap<>();
+
   /** Kept in addition, so that the next unplaced task of a wide job is found quickly. */
   private final BitSet doneOrPlaced = new BitSet();
 
@@ -117,8 +122,28 @@
     return runningCount;
   }
 
+  int placedCount() {
+    return placementsByIndex.size();
+  }
+
+  /** Returns a copy. */
+  Map<String, Integer> placedCountByZone() {
+    return new HashMap<>(placedCountByZone);
+  }
+
+  private void changePlacedCountInZoneOf(TaskPlacement placement, int delta) {
+    placedCountByZone.merge(
+        placement.machine().row().zone(),
+        delta,
+        (count, change) -> count + change == 0 ? null : count + change);
+  }
+
   void addPlacement(TaskPlacement placement) {
-    placementsByIndex.put(placement.taskIndex(), placement);
+    TaskPlacement replaced = placementsByIndex.put(placement.taskIndex(), placement);
+    if (replaced != null) {
+      changePlacedCountInZoneOf(replaced, -1);
+    }
+    changePlacedCountInZoneOf(placement, 1);
     doneOrPlaced.set(placement.taskIndex());
   }
 
@@ -127,6 +152,7 @@
     int index = placement.taskIndex();
     if (placementsByIndex.get(index) == placement) {
       placementsByIndex.remove(index);
+      changePlacedCountInZoneOf(placement, -1);
       doneOrPlaced.set(index, done.get(index));
     }
   }
--- a/src/main/java/io/violetrail/scheduling/PlacementConstraints.java
+++ b/src/main/java/io/violetrail/scheduling/PlacementConstraints.java
@@ -4,7 +4,6 @@
 import io.violetrail.fleet.Prices;
 import io.violetrail.model.JobSpec;
 import io.violetrail.model.Resources;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -88,11 +87,7 @@
     if (!job.spec().singleZone() && !job.spec().spreadAcrossZones()) {
       return Map.of();
     }
-    Map<String, Integer> placedCountByZone = new HashMap<>();
-    for (TaskPlacement placement : job.placements()) {
-      placedCountByZone.merge(placement.machine().row().zone(), 1, Integer::sum);
-    }
-    return placedCountByZone;
+    return job.placedCountByZone();
   }
 
   /**
@@ -149,11 +144,6 @@
    * task keeps the machine from scale-in, whether or not this job uses the machine too.
    */
   private static boolean isHeldByMoreAccelerators(Job job, Machine machine) {
-    for (TaskPlacement placement : machine.placements().values()) {
-      if (placement.job().spec().taskResources().gpus() > job.spec().taskResources().gpus()) {
-        return true;
-      }
-    }
-    return false;
+    return machine.largestAcceleratorUse() > job.spec().taskResources().gpus();
   }
 }
--- a/src/main/java/io/violetrail/scheduling/Preemption.java
+++ b/src/main/java/io/violetrail/scheduling/Preemption.java
@@ -8,8 +8,10 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -241,17 +243,19 @@
 
   /**
    * Returns the work that is lost if all tasks of a machine are stopped, in core-seconds. A gang
-   * with a task there is counted with all of its tasks, since all of them are stopped.
+   * with tasks there is counted once, with all of its tasks, since all of them are stopped.
    */
   public static double lostCpuSeconds(Machine machine, double nowSeconds) {
     double totalCpuSeconds = 0;
+    Set<Job> countedGangs = new HashSet<>();
     for (TaskPlacement placement : machine.placements().values()) {
-      List<TaskPlacement> stopped =
-          placement.job().spec().shape() == JobShape.GANG
-              ? placement.job().placements()
-              : List.of(placement);
-      for (TaskPlacement gangPlacement : stopped) {
-        totalCpuSeconds += lostCpuSeconds(gangPlacement, nowSeconds);
+      Job job = placement.job();
+      if (job.spec().shape() != JobShape.GANG) {
+        totalCpuSeconds += lostCpuSeconds(placement, nowSeconds);
+      } else if (countedGangs.add(job)) {
+        for (TaskPlacement gangPlacement : job.placements()) {
+          totalCpuSeconds += lostCpuSeconds(gangPlacement, nowSeconds);
+        }
       }
     }
     return totalCpuSeconds;
--- a/src/main/java/io/violetrail/scheduling/SchedulingLoop.java
+++ b/src/main/java/io/violetrail/scheduling/SchedulingLoop.java
@@ -2,12 +2,14 @@
 
 import io.violetrail.net.CoalescingTimer;
 import io.violetrail.net.EventLoop;
+import java.util.function.BooleanSupplier;
 
 /**
  * Decides when a scheduling pass runs. Requests are debounced, since events arrive in bursts. A
  * pass is followed by a pause in proportion to its duration, so that heartbeats and lease renewals
  * are handled in time on a slow processor, too. With hundreds of machines and a small processor, a
- * pass after each event would leave no time for anything else.
+ * pass after each event would leave no time for anything else. A pass that has more to place than
+ * it may place at once is continued after the pause.
  *
  * <p>Runs on the event loop's thread. Its state is lost with the process.
  */
@@ -19,7 +21,7 @@
 
   private final EventLoop loop;
   private final CoalescingTimer nextPass;
-  private Runnable pass = () -> {};
+  private BooleanSupplier pass = () -> false;
   private double pausedUntilSeconds;
 
   /** Creates a loop that runs passes on the event loop. */
@@ -28,8 +30,12 @@
     this.nextPass = new CoalescingTimer(loop, this::runPass);
   }
 
-  /** Sets what a pass does. Until then requested passes do nothing. */
-  public void setPass(Runnable pass) {
+  /**
+   * Sets what a pass does. Until then requested passes do nothing.
+   *
+   * @param pass returns whether another pass is needed to place what can be placed
+   */
+  public void setPass(BooleanSupplier pass) {
     this.pass = pass;
   }
 
@@ -40,8 +46,11 @@
 
   private void runPass() {
     double startedAtSeconds = loop.monotonicSeconds();
-    pass.run();
+    boolean unfinished = pass.getAsBoolean();
     double endedAtSeconds = loop.monotonicSeconds();
     pausedUntilSeconds = endedAtSeconds + PAUSE_FACTOR * (endedAtSeconds - startedAtSeconds);
+    if (unfinished) {
+      requestPass();
+    }
   }
 }
--- a/src/main/java/io/violetrail/scheduling/TaskScheduler.java
+++ b/src/main/java/io/violetrail/scheduling/TaskScheduler.java
@@ -58,6 +58,12 @@
   /** The maximum number of gangs to try for one heartbeat; the next pass tries the others. */
   private static final int MAX_GANG_ATTEMPTS_PER_HEARTBEAT = 2;
 
+  /**
+   * The number of tasks after which a pass, or the scheduling for one heartbeat, places no more.
+   * The next pass continues. A gang is placed as a whole and may exceed it.
+   */
+  static final int MAX_PLACEMENTS_AT_ONCE = 2_000;
+
   private final EventLoop loop;
   private final Membership membership;
   private final Configuration configuration;
@@ -70,6 +76,9 @@
   private final TransferRequests transferRequests;
   private final LongPolls longPolls;
 
+  /** How many more tasks may be placed before the event loop is left to others. */
+  private int remainingPlacements;
+
   /** Machines with new placements. Their workers may be waiting for launches in a long poll. */
   private final Set<MachineId> machinesWithNewPlacements = new LinkedHashSet<>();
 
@@ -105,17 +114,21 @@
   /**
    * Runs a scheduling pass over all active entities that this controller owns. Does nothing while
    * the controller's lease is not valid or its configuration is not fresh.
+   *
+   * @return whether the pass has ended because it has placed {@link #MAX_PLACEMENTS_AT_ONCE} tasks
    */
-  public void runPass() {
+  public boolean runPass() {
     if (!membership.isLeaseValid() || !configuration.isFresh()) {
-      return;
+      return false;
     }
+    remainingPlacements = MAX_PLACEMENTS_AT_ONCE;
     for (OwnedEntity entity : membership.ownedEntities()) {
       if (entity.isActive()) {
         placePendingJobs(entity);
       }
     }
     endLongPolls();
+    return remainingPlacements <= 0;
   }
 
   /** Returns how many machines were examined so far, a measure of the cost of placement. */
@@ -135,7 +148,7 @@
     Map<String, Resources> remainingQuotaByTeam = new HashMap<>();
     for (Job job : pendingJobs) {
       binPacker.recordDemand(job.spec(), nowSeconds);
-      if (!isStartable(job, awaitingFirstReports, nowSeconds)) {
+      if (!isStartable(entity, job, awaitingFirstReports, nowSeconds)) {
         continue;
       }
       Resources quota =
@@ -175,11 +188,12 @@
     List<Job> pendingJobs = pendingQueues.orderedJobs(entity);
     binPacker.beginPass(nowSeconds, machineTypes.prices(), pendingJobs);
     boolean awaitingFirstReports = entity.hasUncertainMachine(nowSeconds);
+    remainingPlacements = MAX_PLACEMENTS_AT_ONCE;
     int gangAttemptCount = 0;
     List<Machine> schedulableMachines = List.of(machine);
     Map<String, Resources> remainingQuotaByTeam = new HashMap<>();
     for (Job job : pendingJobs) {
-      if (!isStartable(job, awaitingFirstReports, nowSeconds)
+      if (!isStartable(entity, job, awaitingFirstReports, nowSeconds)
           || !binPacker.fits(
               job, machine, PlacementConstraints.countPlacedByZone(job), nowSeconds)) {
         continue;
@@ -219,9 +233,11 @@
     machineIds.forEach(longPolls::sendDelayedReply);
   }
 
-  private static boolean isStartable(Job job, boolean awaitingFirstReports, double nowSeconds) {
-    return job.phase() == Job.Phase.OPEN
-        && job.startableCount(nowSeconds) > 0
+  private boolean isStartable(
+      OwnedEntity entity, Job job, boolean awaitingFirstReports, double nowSeconds) {
+    return remainingPlacements > 0
+        && job.phase() == Job.Phase.OPEN
+        && entity.startableCount(job, nowSeconds) > 0
         && !(job.loadedFromStore() && awaitingFirstReports);
   }
 
@@ -241,8 +257,8 @@
     boolean zonesMatter = job.spec().singleZone() || job.spec().spreadAcrossZones();
     int startableCount =
         Math.min(
-            quota.countFitting(taskResources),
-            job.prioritizedForFirstTask() ? 1 : job.startableCount(nowSeconds));
+            Math.min(remainingPlacements, quota.countFitting(taskResources)),
+            job.prioritizedForFirstTask() ? 1 : entity.startableCount(job, nowSeconds));
     int placedCount = 0;
     List<Machine> fittingMachines = null;
     Machine machine = null;
@@ -269,6 +285,7 @@
           new TaskPlacement(job, taskIndex, machine, entity.nextAttemptId(), nowSeconds));
       job.prioritizeForFirstTask(false);
       recordNewPlacement(machine);
+      remainingPlacements--;
       placedCount++;
       if (zonesMatter) {
         placedCountByZone.merge(machine.row().zone(), 1, Integer::sum);
@@ -302,7 +319,7 @@
       return false;
     }
     Resources taskResources = job.spec().taskResources();
-    int missingCount = job.startableCount(nowSeconds);
+    int missingCount = entity.startableCount(job, nowSeconds);
     boolean preempted = false;
     for (Machine machine : entity.machines().values()) {
       int additionalCount =
@@ -348,6 +365,7 @@
       entity.addPlacement(new TaskPlacement(job, i, chosenMachines.get(i), attempt, nowSeconds));
       recordNewPlacement(chosenMachines.get(i));
     }
+    remainingPlacements -= chosenMachines.size();
     return gangResources;
   }
 }
--- /dev/null
+++ b/src/test/java/io/violetrail/simulation/WideJobsTest.java
@@ -0,0 +1,81 @@
+package io.violetrail.simulation;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.violetrail.fakes.FakeWorker;
+import io.violetrail.fakes.SimulatedUser;
+import io.violetrail.ownership.OwnedEntity;
+import io.violetrail.ownership.TaskCountLimit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Jobs of very many, very small tasks, beside ordinary jobs on the same controllers. */
+class WideJobsTest extends SimulationTestBase {
+  /** Far more than the tests take, and far less than a pass of quadratic cost. */
+  private static final int TIMEOUT_SECONDS = 60;
+
+  private static final int MAX_TASKS_PER_JOB = 100_000;
+
+  private static final int MACHINES_FOR_ALL_TASKS = 60;
+
+  WideJobsTest() {
+    super(1, 23);
+    simulation.cloud().setRecordsReports(false);
+  }
+
+  private static ObjectNode wideJob(String id, int taskCount, double cpus) {
+    return SimulatedUser.jobRequest(id, taskCount).put("cores", cpus).put("mem_gb", cpus / 2);
+  }
+
+  private OwnedEntity entity() {
+    return simulation.controllers().get("c0").membership().findHomeEntity();
+  }
+
+  private int placedCount() {
+    return entity().machines().values().stream()
+        .mapToInt(machine -> machine.placements().size())
+        .sum();
+  }
+
+  @Test
+  @Timeout(value = TIMEOUT_SECONDS, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+  void wideJobsOfTinyTasksLeaveTheControllerResponsive() {
+    // Guards against passes whose cost is the square of the tasks on a machine (review, case 4).
+    simulation.startAllControllers();
+    user.submit("c0", SimulatedUser.jobRequest("job-1", 4));
+    awaitRunning("job-1/0");
+    for (int i = 0; i < 3; i++) {
+      assertEquals(201, user.submit("c0", wideJob("job-1" + i, MAX_TASKS_PER_JOB, 0.0001)));
+    }
+    simulation.runFor(5);
+    assertEquals("running", user.pollStatus("c0", "job-1"));
+    assertEquals(
+        0,
+        simulation.cloud().workers().values().stream()
+            .mapToLong(FakeWorker::expiredLeaseCount)
+            .sum());
+  }
+
+  @Test
+  void tasksOfAnEntityAreLimitedWhateverTheirSize() {
+    // Guards against jobs that use up the memory of a controller.
+    simulation.cloud().setCapacity(MACHINES_FOR_ALL_TASKS);
+    simulation.startAllControllers();
+    for (int i = 0; i < 12; i++) {
+      assertEquals(201, user.submit("c0", wideJob("job-1" + i, MAX_TASKS_PER_JOB, 0.00001)));
+    }
+    simulation.runFor(40);
+    assertTrue(placedCount() > TaskCountLimit.MAX_PLACED_TASKS / 2, "placed " + placedCount());
+    assertTrue(placedCount() <= TaskCountLimit.MAX_PLACED_TASKS, "placed " + placedCount());
+  }
+
+  @Test
+  void gangsThatNoControllerCanHoldAreRejected() {
+    simulation.startAllControllers();
+    ObjectNode gang =
+        wideJob("job-1", TaskCountLimit.MAX_PLACED_TASKS + 1, 0.00001).put("shape", "ensemble");
+    assertEquals(422, user.submit("c0", gang));
+  }
+}
