--- a/src/test/java/io/violetrail/simulation/WideJobsTest.java
+++ b/src/test/java/io/violetrail/simulation/WideJobsTest.java
@@ -47,7 +47,7 @@
     user.submit("c0", SimulatedUser.jobRequest("job-1", 4));
     awaitRunning("job-1/0");
     for (int i = 0; i < 3; i++) {
-      assertEquals(201, user.submit("c0", wideJob("job-1" + i, MAX_TASKS_PER_JOB, 0.0001)));
+      assertEquals(201, user.submit("c0", wideJob("job-1" + i, MAX_TASKS_PER_JOB, 0.00001)));
     }
     simulation.runFor(5);
     assertEquals("running", user.pollStatus("c0", "job-1"));
