--- a/src/main/java/io/violetrail/api/JobLookup.java
+++ b/src/main/java/io/violetrail/api/JobLookup.java
@@ -7,6 +7,7 @@
 import io.violetrail.model.JobSpec;
 import io.violetrail.model.JobView;
 import io.violetrail.model.JobView.JobStatus;
+import io.violetrail.model.ReportSize;
 import io.violetrail.model.Resources;
 import io.violetrail.net.RequestCoalescer;
 import io.violetrail.ownership.StateSchema;
@@ -88,7 +89,7 @@
                           toLookupResult(
                               id,
                               entity,
-                              parseTaskResources(claimRow.value()),
+                              parseTaskResources(id, claimRow.value()),
                               finishedSegmentRow));
             });
   }
@@ -112,10 +113,11 @@
         .put("memory", spec.taskResources().memoryGb());
   }
 
-  private static Resources parseTaskResources(JsonNode claimRow) {
+  private static Resources parseTaskResources(JobId id, JsonNode claimRow) {
     return new Resources(
         claimRow.path("cpus").asDouble(),
         claimRow.path("gpus").asDouble(),
-        claimRow.path("memory").asDouble());
+        claimRow.path("memory").asDouble(),
+        ReportSize.bytesOfTask(id));
   }
 }
--- a/src/main/java/io/violetrail/fleet/Machine.java
+++ b/src/main/java/io/violetrail/fleet/Machine.java
@@ -305,6 +305,7 @@
   public void expireLease() {
     worker.expireLease();
     tasks.replaceUnknownTasks(Map.of());
+    tasks.setExitedReportBytes(0);
   }
 
   /** Returns the worker's endpoint, or null before this controller has received a heartbeat. */
@@ -453,6 +454,14 @@
     tasks.replaceUnknownTasks(reported);
   }
 
+  /**
+   * Records the room that exited tasks take in the worker's latest report, in bytes. It is free
+   * again once a report no longer shows them.
+   */
+  public void setExitedReportBytes(double bytes) {
+    tasks.setExitedReportBytes(bytes);
+  }
+
   /** Returns the free resources. The value is cached until the tasks change. */
   public Resources freeCapacity() {
     return tasks.freeCapacity();
--- a/src/main/java/io/violetrail/fleet/PlacedTasks.java
+++ b/src/main/java/io/violetrail/fleet/PlacedTasks.java
@@ -12,7 +12,8 @@
  * The tasks on one machine and the capacity that they leave free: the placements decided by this
  * controller, and unknown tasks, which the worker reports but which are not placed on the machine
  * (see {@link Machine#unknownTasks}). Both count against the capacity until they are known to be
- * gone, since freeing their capacity too early would overcommit the machine.
+ * gone, since freeing their capacity too early would overcommit the machine. Exited tasks take room
+ * only in the worker's report, which lists them until they are forgotten.
  *
  * <p>Used only by its {@link Machine}, on the event loop's thread. Nothing here survives a crash:
  * the placements are rebuilt from the stored jobs and the workers' heartbeats.
@@ -22,6 +23,9 @@
   private final Map<TaskId, TaskPlacement> placements = new LinkedHashMap<>();
   private final Map<TaskId, Resources> unknownTasks = new HashMap<>();
 
+  /** The room that the exited tasks of the latest report take in it, in bytes. */
+  private double exitedReportBytes;
+
   /** The number of placements that are not best-effort work. */
   private int regularTaskCount;
 
@@ -98,6 +102,13 @@
     }
   }
 
+  void setExitedReportBytes(double bytes) {
+    if (bytes != exitedReportBytes) {
+      exitedReportBytes = bytes;
+      discardCaches();
+    }
+  }
+
   Resources freeCapacity() {
     if (freeCapacity == null) {
       freeCapacity = computeFreeCapacity();
@@ -106,21 +117,14 @@
   }
 
   private Resources computeFreeCapacity() {
-    double cpus = capacity.cpus();
-    double gpus = capacity.gpus();
-    double memory = capacity.memoryGb();
+    Resources free = capacity.minus(new Resources(0, 0, 0, exitedReportBytes));
     for (TaskPlacement placement : placements.values()) {
-      Resources taskResources = placement.job().spec().taskResources();
-      cpus -= taskResources.cpus();
-      gpus -= taskResources.gpus();
-      memory -= taskResources.memoryGb();
+      free = free.minus(placement.job().spec().taskResources());
     }
     for (Resources taskResources : unknownTasks.values()) {
-      cpus -= taskResources.cpus();
-      gpus -= taskResources.gpus();
-      memory -= taskResources.memoryGb();
+      free = free.minus(taskResources);
     }
-    return new Resources(cpus, gpus, memory);
+    return free;
   }
 
   /** Returns the most accelerators that one of the placed tasks uses; 0 without placements. */
--- a/src/main/java/io/violetrail/fleet/QuotaAmounts.java
+++ b/src/main/java/io/violetrail/fleet/QuotaAmounts.java
@@ -4,20 +4,25 @@
 
 /**
  * Arithmetic on amounts of team quotas, in processors and accelerators; unlimited amounts are
- * infinite. Quotas do not limit memory, and an amount that moves has 0 of it.
+ * infinite. Quotas do not limit memory or room in reports, and an amount that moves has 0 of them.
  */
 final class QuotaAmounts {
   /** The smallest quota amount, in processors or accelerators, that is worth a write. */
   static final double MIN_SHARE = 1e-3;
 
-  /** No processors and no accelerators; memory is infinite since quotas do not limit it. */
-  static final Resources NO_QUOTA = new Resources(0, 0, Double.POSITIVE_INFINITY);
+  /** No processors and no accelerators; the rest is infinite since quotas do not limit it. */
+  static final Resources NO_QUOTA = quota(0, 0);
 
   static final Resources UNLIMITED =
       new Resources(Double.POSITIVE_INFINITY, Double.POSITIVE_INFINITY, 0);
 
   private QuotaAmounts() {}
 
+  /** Returns a quota or a share of one; what quotas do not limit is infinite. */
+  static Resources quota(double cpus, double gpus) {
+    return new Resources(cpus, gpus, Double.POSITIVE_INFINITY, Double.POSITIVE_INFINITY);
+  }
+
   static boolean isWorthWriting(Resources amounts) {
     return amounts.cpus() >= MIN_SHARE || amounts.gpus() >= MIN_SHARE;
   }
--- a/src/main/java/io/violetrail/fleet/TeamQuotaShares.java
+++ b/src/main/java/io/violetrail/fleet/TeamQuotaShares.java
@@ -45,7 +45,8 @@
   }
 
   /**
-   * Returns an entity's share of a team's quota. Unlimited amounts are infinite; memory always is.
+   * Returns an entity's share of a team's quota. Unlimited amounts are infinite; what quotas do not
+   * limit always is.
    */
   Resources shareOf(ControllerId entity, String team) {
     Team configuredTeam = settings.teams().get(team);
@@ -57,22 +58,19 @@
       return QuotaAmounts.NO_QUOTA;
     }
     int controllerCount = settings.controllers().size();
-    return new Resources(
-        configuredTeam.maxCpus() / controllerCount,
-        configuredTeam.maxGpus() / controllerCount,
-        Double.POSITIVE_INFINITY);
+    return QuotaAmounts.quota(
+        configuredTeam.maxCpus() / controllerCount, configuredTeam.maxGpus() / controllerCount);
   }
 
   private static Resources decode(JsonNode share, Team configuredTeam) {
     boolean limitsFromSettings = share.size() < 3 && configuredTeam != null;
-    return new Resources(
+    return QuotaAmounts.quota(
         decode(
             share.path(0).asDouble(),
             limitsFromSettings && Double.isInfinite(configuredTeam.maxCpus())),
         decode(
             share.path(1).asDouble(),
-            limitsFromSettings && Double.isInfinite(configuredTeam.maxGpus())),
-        Double.POSITIVE_INFINITY);
+            limitsFromSettings && Double.isInfinite(configuredTeam.maxGpus())));
   }
 
   private static double decode(double stored, boolean unlimited) {
--- a/src/main/java/io/violetrail/model/JobSpec.java
+++ b/src/main/java/io/violetrail/model/JobSpec.java
@@ -3,7 +3,8 @@
 import java.util.List;
 
 /**
- * A job as its user specified it.
+ * A job as its user specified it. The resources of a task include its room in a worker's report,
+ * which follows from the job's id.
  *
  * @param machineTypes the allowed machine types; null allows any
  * @param zone the only allowed zone; null allows any
@@ -35,6 +36,10 @@
     double checkpointIntervalSeconds,
     double checkpointSaveSeconds,
     Double deadlineSeconds) {
+  /** Sets the room that a task takes in a worker's report. */
+  public JobSpec {
+    taskResources = taskResources.withReportBytes(ReportSize.bytesOfTask(id));
+  }
 
   /** Returns whether the job's constraints admit a machine of this type, zone and pricing model. */
   public boolean allowsMachine(String machineType, String machineZone, boolean spotMachine) {
--- a/src/main/java/io/violetrail/model/MachineType.java
+++ b/src/main/java/io/violetrail/model/MachineType.java
@@ -3,7 +3,8 @@
 import java.util.List;
 
 /**
- * A type of machine that the cloud offers. Prices are per hour.
+ * A type of machine that the cloud offers. Prices are per hour. The capacity includes the room for
+ * tasks in a worker's report, which is the same for all types.
  *
  * @param bootSeconds the usual time from the scale-out request until the worker reports
  * @param zones the zones in which the type is offered
@@ -17,6 +18,11 @@
     double spotPrice,
     double bootSeconds,
     List<String> zones) {
+  /** Sets the room for tasks in a worker's report. */
+  public MachineType {
+    capacity = capacity.withReportBytes(ReportSize.bytesForTasks());
+  }
+
   /** Returns the price per hour of a spot machine or of an on-demand machine. */
   public double priceFor(boolean spot) {
     return spot ? spotPrice : onDemandPrice;
--- a/src/main/java/io/violetrail/peer/ResourceRequest.java
+++ b/src/main/java/io/violetrail/peer/ResourceRequest.java
@@ -1,7 +1,9 @@
 package io.violetrail.peer;
 
 import io.violetrail.model.ControllerId;
+import io.violetrail.model.JobId;
 import io.violetrail.model.JobSpec;
+import io.violetrail.model.ReportSize;
 import io.violetrail.model.Resources;
 import java.util.List;
 
@@ -116,8 +118,10 @@
         worth, starving, mayEvict, donor);
   }
 
+  /** Returns the requested part of a quota, or what each task takes of its machine. */
   public Resources requestedAmounts() {
-    return new Resources(cpus, gpus, memoryGb);
+    Resources amounts = new Resources(cpus, gpus, memoryGb);
+    return slice ? amounts : amounts.withReportBytes(ReportSize.bytesOfTask(new JobId(job)));
   }
 
   public List<String> allowedTypes() {
--- a/src/main/java/io/violetrail/worker/ReportReconciliation.java
+++ b/src/main/java/io/violetrail/worker/ReportReconciliation.java
@@ -6,6 +6,7 @@
 import io.violetrail.evidence.TerminationEvidence;
 import io.violetrail.fleet.Machine;
 import io.violetrail.model.JobShape;
+import io.violetrail.model.ReportSize;
 import io.violetrail.model.Resources;
 import io.violetrail.model.TaskId;
 import io.violetrail.ownership.OwnedEntity;
@@ -76,12 +77,23 @@
       reconcileTask(taskReport);
     }
     machine.replaceUnknownTasks(unknownTasks);
+    machine.setExitedReportBytes(exitedReportBytes(report));
     removeUnreportedPlacements(
         machine.tasksKnown() && report.session() > machine.lastSession()
             ? TerminationEvidence.LATER_SESSION
             : TerminationEvidence.REPORT_WITHOUT_IT);
   }
 
+  private static int exitedReportBytes(WorkerReport report) {
+    int bytes = 0;
+    for (TaskReport taskReport : report.tasks()) {
+      if (taskReport.state() == TaskState.EXITED) {
+        bytes += ReportSize.bytesOfTask(taskReport.taskId().jobId());
+      }
+    }
+    return bytes;
+  }
+
   private void reconcileTask(TaskReport taskReport) {
     Job job = entity.jobs().get(taskReport.taskId().jobId());
     if (job == null || taskReport.taskId().index() >= job.spec().taskCount()) {
--- a/src/test/java/io/violetrail/fakes/FakeWorker.java
+++ b/src/test/java/io/violetrail/fakes/FakeWorker.java
@@ -114,6 +114,9 @@
   /** All reports sent so far, in order, for {@link #resendReport}. */
   private final List<byte[]> sentReports = new ArrayList<>();
 
+  /** The length of the longest report in JSON form, in which the protocol counts sizes. */
+  private int largestReportBytes;
+
   private Double preemptionNoticeSeconds;
   private int launchCount;
 
@@ -190,6 +193,11 @@
     return launchCount;
   }
 
+  /** Returns the length of the longest report so far in JSON form, in bytes. */
+  public int largestReportBytes() {
+    return largestReportBytes;
+  }
+
   public int lostLaunchCount() {
     return lostLaunchCount;
   }
@@ -453,6 +461,7 @@
     long sentInSession = session;
     inFlight = true;
     byte[] report = Cbor.encode(message);
+    largestReportBytes = Math.max(largestReportBytes, message.toString().length());
     lastReportAtSeconds = sentAtSeconds;
     if (recordsReports) {
       sentReports.add(report);
--- a/src/test/java/io/violetrail/fakes/SimulatedTransport.java
+++ b/src/test/java/io/violetrail/fakes/SimulatedTransport.java
@@ -3,6 +3,7 @@
 import io.violetrail.config.Settings.HostPort;
 import io.violetrail.net.HttpClient.ClientResponse;
 import io.violetrail.net.RequestHandler;
+import io.violetrail.net.UndertowServer;
 import java.io.IOException;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -159,6 +160,10 @@
     }
     MessageObserver.Request request = exchange.request();
     observer.delivered(request);
+    if (processes.isControllerHost(exchange.to().host()) && isTooLong(request)) {
+      returnAnswer(exchange, RequestHandler.HttpResponse.empty(400));
+      return;
+    }
     service.handle(
         request.method(),
         exchange.servedPath(),
@@ -169,6 +174,11 @@
                 () -> returnAnswer(exchange, answer)));
   }
 
+  /** Returns whether a controller's HTTP server refuses the request for its length. */
+  private static boolean isTooLong(MessageObserver.Request request) {
+    return request.body() != null && request.body().length > UndertowServer.MAX_BODY_BYTES;
+  }
+
   private void returnAnswer(Exchange exchange, RequestHandler.HttpResponse answer) {
     traffic.countReply(exchange.kind(), answer.body());
     observer.answered(exchange.request(), answer);
--- a/src/test/java/io/violetrail/simulation/WideJobsTest.java
+++ b/src/test/java/io/violetrail/simulation/WideJobsTest.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.violetrail.fakes.FakeWorker;
 import io.violetrail.fakes.SimulatedUser;
+import io.violetrail.net.UndertowServer;
 import io.violetrail.ownership.OwnedEntity;
 import io.violetrail.ownership.TaskCountLimit;
 import org.junit.jupiter.api.Test;
@@ -39,6 +40,20 @@
         .sum();
   }
 
+  private void assertNoLeaseExpired() {
+    for (FakeWorker worker : simulation.cloud().allCreatedWorkers()) {
+      assertEquals(0, worker.expiredLeaseCount(), worker.id());
+    }
+  }
+
+  private void assertReportsAreWithinLimit() {
+    for (FakeWorker worker : simulation.cloud().allCreatedWorkers()) {
+      assertTrue(
+          worker.largestReportBytes() <= UndertowServer.MAX_BODY_BYTES,
+          worker.id() + " sent " + worker.largestReportBytes() + " bytes");
+    }
+  }
+
   @Test
   @Timeout(value = TIMEOUT_SECONDS, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
   void wideJobsOfTinyTasksLeaveTheControllerResponsive() {
@@ -51,11 +66,7 @@
     }
     simulation.runFor(5);
     assertEquals("running", user.pollStatus("c0", "job-1"));
-    assertEquals(
-        0,
-        simulation.cloud().workers().values().stream()
-            .mapToLong(FakeWorker::expiredLeaseCount)
-            .sum());
+    assertNoLeaseExpired();
   }
 
   @Test
@@ -71,6 +82,49 @@
     assertTrue(placedCount() <= TaskCountLimit.MAX_PLACED_TASKS, "placed " + placedCount());
   }
 
+  @Test
+  void servicesOfTinyReplicasLeaveRoomForOtherJobs() {
+    // Guards against jobs that use up the tasks that a controller may place.
+    simulation.cloud().setCapacity(MACHINES_FOR_ALL_TASKS);
+    simulation.startAllControllers();
+    for (int i = 0; i < 2; i++) {
+      ObjectNode service = wideJob("job-1" + i, MAX_TASKS_PER_JOB, 0.00001);
+      assertEquals(201, user.submit("c0", service.put("shape", "daemon").put("guess_s", 0.0)));
+    }
+    simulation.runUntil(60, () -> placedCount() >= TaskCountLimit.MAX_PLACED_TASKS);
+    user.submit("c0", SimulatedUser.jobRequest("job-2", 4));
+    simulation.runUntil(90, () -> user.pollStatus("c0", "job-2").equals("done"));
+    assertTrue(placedCount() < TaskCountLimit.MAX_PLACED_TASKS + 100, "placed " + placedCount());
+  }
+
+  @Test
+  void reportsOfTinyTasksStayBelowTheLimitOfBodies() {
+    // Guards against reports that every controller refuses, so that leases expire (review, case 5).
+    simulation.setReportsOnChange(true);
+    simulation.startAllControllers();
+    user.submit("c0", wideJob("job-1", 3_000, 0.001));
+    user.submit("c0", wideJob("job-" + "7".repeat(60), 1_000, 0.001));
+    simulation.runUntil(120, () -> user.pollStatus("c0", "job-1").equals("done"));
+    assertNoLeaseExpired();
+    assertReportsAreWithinLimit();
+  }
+
+  @Test
+  void exitedTasksThatCannotBeForgottenYetCountAsReported() {
+    // Guards against reports that grow by the ends of tasks while the state service is out.
+    simulation.setReportsOnChange(true);
+    simulation.cloud().setTaskDurationSeconds(2);
+    simulation.startAllControllers();
+    user.submit("c0", wideJob("job-1", 3_000, 0.001));
+    simulation.runUntil(20, () -> launchCount() > 0);
+    simulation.networkFaults().holdMessages(message -> message.contains("state POST /txn"));
+    simulation.runFor(8);
+    simulation.networkFaults().releaseHeldMessages();
+    simulation.runUntil(120, () -> user.pollStatus("c0", "job-1").equals("done"));
+    assertNoLeaseExpired();
+    assertReportsAreWithinLimit();
+  }
+
   @Test
   void gangsThatNoControllerCanHoldAreRejected() {
     simulation.startAllControllers();
