Leases: a reply that renews a lease stops every task of an ended job, whatever their number

Callers saw, on the fakes: of a cancelled job with 500 tasks on one machine, 100 went on under a lease that was renewed after the cancellation. Change: only other commands are left out beyond 400. All stops fit, since a stop is shorter than its task's entry in the report.

--- a/src/main/java/io/violetrail/worker/LeaseRenewal.java
+++ b/src/main/java/io/violetrail/worker/LeaseRenewal.java
@@ -8,6 +8,7 @@
 import io.violetrail.wire.HeartbeatMessages.TaskReport;
 import io.violetrail.wire.HeartbeatMessages.TaskState;
 import io.violetrail.wire.HeartbeatMessages.WorkerCommand;
+import io.violetrail.wire.HeartbeatMessages.WorkerCommand.CommandType;
 import io.violetrail.wire.HeartbeatMessages.WorkerReport;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -24,7 +25,11 @@
  * <p>Called on the event loop's thread; has no state.
  */
 public final class LeaseRenewal {
-  /** Maximum number of commands in a reply; keeps it below the protocol's limit of 64 KiB. */
+  /**
+   * Maximum number of commands in a reply, apart from stops; keeps it below the protocol's limit of
+   * 64 KiB. A stop is shorter than its task's entry in the report, so the stops of all reported
+   * tasks fit into a reply as well.
+   */
   static final int MAX_COMMANDS = 400;
 
   private final Membership membership;
@@ -47,9 +52,9 @@
    * here without renewal, and its lease runs down.
    *
    * @param token the fencing token under which the lease is renewed
-   * @param commands sent after the stops of finished and cancelled jobs, up to {@link
-   *     #MAX_COMMANDS} in all; the others are left out, and a launch that is left out is treated as
-   *     lost once the next report does not show its task
+   * @param commands sent after the stops of finished and cancelled jobs; beyond {@link
+   *     #MAX_COMMANDS} in all, commands other than stops are left out. A launch that is left out is
+   *     treated as lost once the next report does not show its task
    */
   HeartbeatReply renew(
       OwnedEntity entity, Version token, WorkerReport report, List<WorkerCommand> commands) {
@@ -65,10 +70,12 @@
         orderedCommands.add(WorkerCommands.stopAtOnce(task));
       }
     }
-    orderedCommands.addAll(commands);
-    return HeartbeatReply.leaseRenewed(
-        token,
-        List.copyOf(orderedCommands).subList(0, Math.min(MAX_COMMANDS, orderedCommands.size())));
+    for (WorkerCommand command : commands) {
+      if (command.type() == CommandType.STOP || orderedCommands.size() < MAX_COMMANDS) {
+        orderedCommands.add(command);
+      }
+    }
+    return HeartbeatReply.leaseRenewed(token, List.copyOf(orderedCommands));
   }
 
   /**
--- a/src/test/java/io/violetrail/simulation/WideJobsTest.java
+++ b/src/test/java/io/violetrail/simulation/WideJobsTest.java
@@ -3,12 +3,18 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.violetrail.fakes.FakeWorker;
+import io.violetrail.fakes.MessageObserver;
 import io.violetrail.fakes.SimulatedUser;
+import io.violetrail.net.RequestHandler;
 import io.violetrail.net.UndertowServer;
 import io.violetrail.ownership.OwnedEntity;
 import io.violetrail.ownership.TaskCountLimit;
+import io.violetrail.wire.Cbor;
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -125,6 +131,41 @@
     assertReportsAreWithinLimit();
   }
 
+  @Test
+  void replyThatRenewsTheLeaseStopsAllTasksOfCancelledJob() {
+    // Guards against leases that are renewed for tasks of a cancelled job, beyond 400 on a machine.
+    simulation.startAllControllers();
+    user.submit("c0", wideJob("job-1", 500, 0.001));
+    simulation.runUntil(20, () -> launchCount() == 500);
+    simulation.runFor(2);
+    simulation.networkFaults().refuseConnections(message -> message.endsWith("/orders"));
+    List<Integer> stopCounts = new ArrayList<>();
+    simulation.setOnMessage(
+        new MessageObserver() {
+          @Override
+          public void answered(Request request, RequestHandler.HttpResponse answer) {
+            if (request.path().equals("/agent/beat")) {
+              stopCounts.add(countStops(answer.body()));
+            }
+          }
+        });
+    assertEquals("cancelled", user.cancel("c0", "job-1"));
+    simulation.runUntil(5, () -> stopCounts.stream().anyMatch(count -> count > 0));
+    assertEquals(500, stopCounts.stream().filter(count -> count > 0).findFirst().orElseThrow());
+  }
+
+  private static int countStops(byte[] body) {
+    try {
+      int count = 0;
+      for (JsonNode command : Cbor.parse(body).path("orders")) {
+        count += command.get("verb").asText().equals("halt") ? 1 : 0;
+      }
+      return count;
+    } catch (Cbor.MalformedMessageException exception) {
+      throw new IllegalStateException(exception);
+    }
+  }
+
   @Test
   void gangsThatNoControllerCanHoldAreRejected() {
     simulation.startAllControllers();
