--- a/src/main/java/io/violetrail/controller/Controller.java
+++ b/src/main/java/io/violetrail/controller/Controller.java
@@ -204,7 +204,7 @@
     // Scheduling.
     double heartbeatSeconds = settings.workerTiming().heartbeatIntervalSeconds();
     LongPolls longPolls = new LongPolls(loop, heartbeatSeconds);
-    Preemption preemption = new Preemption(taskStopper::enqueueStop);
+    Preemption preemption = new Preemption(machineTypes, taskStopper::enqueueStop);
     MachineDrainer drainer = new MachineDrainer(loop, preemption);
     BinPacker binPacker =
         new BinPacker(objectives, runtimeEstimates, random, options.placementSampleSize());
--- a/src/main/java/io/violetrail/fleet/MachineTransfer.java
+++ b/src/main/java/io/violetrail/fleet/MachineTransfer.java
@@ -215,7 +215,7 @@
                 request.tasks());
     return machine.isSchedulable()
         && priceRatio <= request.worth()
-        && machine.type().avoidsIdleAccelerators(request.requestedAmounts())
+        && machineTypes.acceleratorPolicy().suits(request, machine.type())
         && request.allowsMachine(machine.row().type(), machine.row().zone(), machine.row().spot());
   }
 
--- a/src/main/java/io/violetrail/fleet/MachineTypes.java
+++ b/src/main/java/io/violetrail/fleet/MachineTypes.java
@@ -64,6 +64,11 @@
     return new Prices(all());
   }
 
+  /** Returns which of the types known now suit tasks as far as accelerators are concerned. */
+  public AcceleratorPolicy acceleratorPolicy() {
+    return new AcceleratorPolicy(all());
+  }
+
   /** Replaces all known types by the given ones. */
   public void replaceAll(List<MachineType> types) {
     byName.clear();
--- a/src/main/java/io/violetrail/fleet/OfferingSelector.java
+++ b/src/main/java/io/violetrail/fleet/OfferingSelector.java
@@ -19,6 +19,7 @@
   private static final double TIE_BREAK_FRACTION = 0.01;
 
   private final Collection<MachineType> types;
+  private final AcceleratorPolicy acceleratorPolicy;
   private final boolean acceleratorsWanted;
   private final Prices prices;
   private final Predicate<MachineOffering> isSoldOut;
@@ -29,7 +30,8 @@
    * Creates a selector for the offerings of the given types.
    *
    * @param acceleratorsWanted whether a job with accelerators was pending recently; then machines
-   *     with accelerators are not rented for other jobs, which placement keeps off them too
+   *     with accelerators are not rented for other jobs that could run elsewhere, as placement
+   *     keeps these off them too
    * @param maxPriceRatioOf the most that a job's task may cost, as a multiple of the cheapest
    *     on-demand price
    * @param tieBreakSeed decides which of equally cheap offerings is preferred
@@ -42,6 +44,7 @@
       ToDoubleFunction<Job> maxPriceRatioOf,
       int tieBreakSeed) {
     this.types = types;
+    this.acceleratorPolicy = new AcceleratorPolicy(types);
     this.acceleratorsWanted = acceleratorsWanted;
     this.prices = prices;
     this.isSoldOut = isSoldOut;
@@ -97,7 +100,7 @@
    * long and were then not placed there; that was one in seven hours of a day's cost.
    */
   boolean suitsAcceleratorNeed(Job job, MachineType type) {
-    return type.avoidsIdleAccelerators(job.spec().taskResources()) || !acceleratorsWanted;
+    return !acceleratorsWanted || acceleratorPolicy.suits(job.spec(), type);
   }
 
   /** Returns the hourly price per task, raised for the time of boot and image fetch. */
--- a/src/main/java/io/violetrail/fleet/TransferRequests.java
+++ b/src/main/java/io/violetrail/fleet/TransferRequests.java
@@ -193,9 +193,10 @@
         machineType.zones().forEach(zone -> slotsByZone.put(zone, 0));
       }
     }
+    AcceleratorPolicy acceleratorPolicy = machineTypes.acceleratorPolicy();
     for (Machine machine : entity.machines().values()) {
       if (machine.isSchedulable()
-          && machine.type().avoidsIdleAccelerators(job.spec().taskResources())
+          && acceleratorPolicy.suits(job.spec(), machine.type())
           && machine.isAllowedFor(job.spec())) {
         slotsByZone.merge(
             machine.row().zone(),
--- a/src/main/java/io/violetrail/scheduling/BinPacker.java
+++ b/src/main/java/io/violetrail/scheduling/BinPacker.java
@@ -1,6 +1,7 @@
 package io.violetrail.scheduling;
 
 import io.violetrail.fleet.Machine;
+import io.violetrail.fleet.MachineTypes;
 import io.violetrail.fleet.Prices;
 import io.violetrail.model.JobShape;
 import io.violetrail.model.JobSpec;
@@ -54,11 +55,13 @@
     this.sampleSize = sampleSize;
   }
 
-  /** Sets the time, the prices and the pending jobs on which the next decisions are based. */
-  void beginPass(double nowSeconds, Prices currentPrices, List<Job> pendingJobs) {
+  /**
+   * Sets the time, the machine types and the pending jobs on which the next decisions are based.
+   */
+  void beginPass(double nowSeconds, MachineTypes machineTypes, List<Job> pendingJobs) {
     passStartedAtSeconds = nowSeconds;
-    prices = currentPrices;
-    constraints.beginPass(currentPrices, pendingJobs);
+    prices = machineTypes.prices();
+    constraints.beginPass(machineTypes, pendingJobs);
   }
 
   /** Returns how many machines were examined so far, a measure of the cost of placement. */
--- a/src/main/java/io/violetrail/scheduling/Job.java
+++ b/src/main/java/io/violetrail/scheduling/Job.java
@@ -46,6 +46,12 @@
    */
   private static final double ACCELERATOR_RESERVE_WAIT_SECONDS = 75;
 
+  /**
+   * A job that has waited for longer than this may use any room that its constraints allow. Less
+   * than the 90 s for which no job may wait beside a machine that has room for it.
+   */
+  private static final double ANY_ROOM_WAIT_SECONDS = 82;
+
   /**
    * The length of the alternating periods in which a waiting job may and may not hold reservations;
    * see {@link #mayHoldReservations}.
@@ -388,6 +394,15 @@
     return waitedSeconds(nowSeconds) > ACCELERATOR_RESERVE_WAIT_SECONDS && hasNoPlacements();
   }
 
+  /**
+   * Returns whether the job has waited for longer than {@link #ANY_ROOM_WAIT_SECONDS}. Then no
+   * preference of other jobs keeps its next task from a machine with room. Each placement starts
+   * the wait anew.
+   */
+  boolean mayUseAnyRoom(double nowSeconds) {
+    return waitedSeconds(nowSeconds) > ANY_ROOM_WAIT_SECONDS;
+  }
+
   /**
    * Returns whether the job may reserve machines or quota shares that it cannot use yet, and
    * thereby block other jobs. The result alternates while the job waits: otherwise a job whose
--- a/src/main/java/io/violetrail/scheduling/PlacementConstraints.java
+++ b/src/main/java/io/violetrail/scheduling/PlacementConstraints.java
@@ -1,6 +1,8 @@
 package io.violetrail.scheduling;
 
+import io.violetrail.fleet.AcceleratorPolicy;
 import io.violetrail.fleet.Machine;
+import io.violetrail.fleet.MachineTypes;
 import io.violetrail.fleet.Prices;
 import io.violetrail.model.JobSpec;
 import io.violetrail.model.Resources;
@@ -19,8 +21,9 @@
   private final ServiceLevelObjectives objectives;
   private final RuntimeEstimates runtimeEstimates;
   private final RecentAcceleratorDemand acceleratorDemand;
+  private final PendingAcceleratorJobs pendingAcceleratorJobs = new PendingAcceleratorJobs();
   private Prices prices;
-  private boolean acceleratorJobPending;
+  private AcceleratorPolicy acceleratorPolicy;
 
   PlacementConstraints(
       ServiceLevelObjectives objectives,
@@ -31,11 +34,11 @@
     this.acceleratorDemand = acceleratorDemand;
   }
 
-  /** Sets the prices and the pending jobs on which the next decisions are based. */
-  void beginPass(Prices currentPrices, List<Job> pendingJobs) {
-    prices = currentPrices;
-    acceleratorJobPending =
-        pendingJobs.stream().anyMatch(job -> job.spec().taskResources().gpus() > 0);
+  /** Sets the machine types and the pending jobs on which the next decisions are based. */
+  void beginPass(MachineTypes machineTypes, List<Job> pendingJobs) {
+    prices = machineTypes.prices();
+    acceleratorPolicy = machineTypes.acceleratorPolicy();
+    pendingAcceleratorJobs.replaceAll(pendingJobs);
   }
 
   /** Returns whether a task of the job may start on the machine now. */
@@ -54,7 +57,7 @@
 
   /** Returns whether a task of the job could start on the machine if it had enough free room. */
   boolean isSuitable(Job job, Machine machine, double nowSeconds) {
-    return (machine.type().capacity().gpus() == 0 || job.spec().taskResources().gpus() > 0)
+    return acceleratorPolicy.suits(job.spec(), machine.type())
         && isAllowed(job, machine, countPlacedByZone(job))
         && isAffordable(job, machine, nowSeconds);
   }
@@ -95,17 +98,23 @@
    * the resources of an accelerator machine that recent accelerator jobs could not use.
    */
   private boolean keepsAcceleratorReserve(Job job, Machine machine, double nowSeconds) {
-    if (job.spec().taskResources().gpus() > 0 || machine.type().capacity().gpus() == 0) {
+    if (acceleratorPolicy.suits(job.spec(), machine.type())
+        || mayUseAcceleratorReserve(job, machine, nowSeconds)) {
       return true;
     }
-    if (job.mayUseAcceleratorReserve(nowSeconds) && !acceleratorJobPending) {
-      // The reserve is kept for accelerator jobs that may never arrive. It must not stay unused
-      // while this job waits.
-      return true;
-    }
-    Resources freeBefore = machine.freeCapacity();
-    Resources freeAfter = freeBefore.minus(job.spec().taskResources());
-    return !acceleratorDemand.reducesAcceleratorSlots(freeBefore, freeAfter, nowSeconds);
+    Resources freeAfter = machine.freeCapacity().minus(job.spec().taskResources());
+    return !acceleratorDemand.reducesAcceleratorSlots(machine, freeAfter, nowSeconds);
+  }
+
+  /**
+   * Returns whether the job has waited so long that it may use what is kept free for accelerator
+   * jobs. These may never arrive, or may not be able to use the machine: the room must not stay
+   * unused while this job waits. For a while longer it waits for accelerator jobs that are pending.
+   */
+  private boolean mayUseAcceleratorReserve(Job job, Machine machine, double nowSeconds) {
+    return job.mayUseAnyRoom(nowSeconds)
+        || (job.mayUseAcceleratorReserve(nowSeconds)
+            && !pendingAcceleratorJobs.mayUse(machine, nowSeconds));
   }
 
   /**
@@ -113,6 +122,9 @@
    * run on a cheap machine would keep an expensive one from scale-in.
    */
   private boolean isAffordable(Job job, Machine machine, double nowSeconds) {
+    if (job.mayUseAnyRoom(nowSeconds)) {
+      return true;
+    }
     int sharingTaskCount = job.unplacedCount() + machine.placements().size();
     double maxPriceRatio =
         job.maxPriceRatio(
@@ -121,11 +133,12 @@
                 objectives.maxPriceRatio(
                     job, nowSeconds, runtimeEstimates.expectedRuntimeSeconds(job.spec())));
     // Small, late CPU-only tasks on accelerator machines would keep these expensive machines rented
-    // without another use. So neither best effort nor a high price ratio admits such tasks there.
+    // without another use. So neither best effort nor a high price ratio admits such tasks there,
+    // as long as they do not wait for too long.
     boolean usesAcceleratorMachineCpus =
-        job.spec().taskResources().gpus() == 0
-            && machine.type().capacity().gpus() > 0
-            && acceleratorDemand.hasRecentDemand(nowSeconds);
+        !acceleratorPolicy.suits(job.spec(), machine.type())
+            && acceleratorDemand.hasRecentDemand(nowSeconds)
+            && !mayUseAcceleratorReserve(job, machine, nowSeconds);
     if (!usesAcceleratorMachineCpus && job.bestEffort()) {
       // A best-effort job may use any existing machine, since it does not keep an on-demand machine
       // from scale-in.
--- a/src/main/java/io/violetrail/scheduling/Preemption.java
+++ b/src/main/java/io/violetrail/scheduling/Preemption.java
@@ -1,7 +1,9 @@
 package io.violetrail.scheduling;
 
 import io.violetrail.evidence.TerminationEvidence;
+import io.violetrail.fleet.AcceleratorPolicy;
 import io.violetrail.fleet.Machine;
+import io.violetrail.fleet.MachineTypes;
 import io.violetrail.model.JobShape;
 import io.violetrail.model.Resources;
 import io.violetrail.ownership.OwnedEntity;
@@ -38,14 +40,17 @@
   /** The number of cores to which one accelerator is equivalent when lost work is computed. */
   private static final double CPUS_PER_GPU = 8;
 
+  private final MachineTypes machineTypes;
   private final Consumer<TaskPlacement> onStopRequested;
 
   /**
    * Creates a preemption.
    *
+   * @param machineTypes the types that the provider offers
    * @param onStopRequested called with each placement whose stop is requested
    */
-  public Preemption(Consumer<TaskPlacement> onStopRequested) {
+  public Preemption(MachineTypes machineTypes, Consumer<TaskPlacement> onStopRequested) {
+    this.machineTypes = machineTypes;
     this.onStopRequested = onStopRequested;
   }
 
@@ -70,9 +75,13 @@
     if (hasReservation(entity, job, nowSeconds)) {
       return;
     }
+    AcceleratorPolicy acceleratorPolicy = machineTypes.acceleratorPolicy();
     Map<String, List<PreemptionCandidate>> candidatesByZone = new HashMap<>();
     for (Machine machine : entity.machines().values()) {
-      PreemptionCandidate candidate = findCandidate(job, machine, nowSeconds);
+      PreemptionCandidate candidate =
+          acceleratorPolicy.suits(job.spec(), machine.type())
+              ? findCandidate(job, machine, nowSeconds)
+              : null;
       if (candidate != null) {
         String zone = job.spec().singleZone() ? machine.row().zone() : "";
         candidatesByZone.computeIfAbsent(zone, z -> new ArrayList<>()).add(candidate);
@@ -187,11 +196,6 @@
         || !PlacementConstraints.isAllowed(job, machine, Map.of())) {
       return null;
     }
-    if (machine.type().capacity().gpus() > 0 && taskResources.gpus() == 0) {
-      // CPU-only tasks do not preempt tasks on accelerator machines: placement keeps them away from
-      // these machines, too, while accelerator jobs may need them.
-      return null;
-    }
     // The time to fetch the image counts as lost work.
     double fetchCpuSeconds =
         machine.hasImage(job.spec().image())
--- a/src/main/java/io/violetrail/scheduling/RecentAcceleratorDemand.java
+++ b/src/main/java/io/violetrail/scheduling/RecentAcceleratorDemand.java
@@ -1,5 +1,6 @@
 package io.violetrail.scheduling;
 
+import io.violetrail.fleet.Machine;
 import io.violetrail.model.JobSpec;
 import io.violetrail.model.Resources;
 import java.util.HashMap;
@@ -16,7 +17,7 @@
   /** Room is left for a class only while a job of it was pending within this time. */
   private static final double RECENT_SECONDS = 600;
 
-  private record Demand(Resources taskResources, double seenAtSeconds) {
+  private record Demand(JobSpec latestJob, double seenAtSeconds) {
     boolean isRecent(double nowSeconds) {
       return nowSeconds - seenAtSeconds < RECENT_SECONDS;
     }
@@ -27,7 +28,7 @@
   /** Records that the job is pending, if it needs accelerators. */
   void record(JobSpec job, double nowSeconds) {
     if (job.taskResources().gpus() > 0) {
-      demandByJobClass.put(job.jobClass(), new Demand(job.taskResources(), nowSeconds));
+      demandByJobClass.put(job.jobClass(), new Demand(job, nowSeconds));
     }
   }
 
@@ -36,14 +37,16 @@
   }
 
   /**
-   * Returns whether fewer tasks of some recent job class fit in {@code freeAfter} than in {@code
-   * freeBefore}.
+   * Returns whether fewer tasks of some recent job class would fit on the machine if only {@code
+   * freeAfter} were free there. Classes that may not use the machine do not count.
    */
-  boolean reducesAcceleratorSlots(Resources freeBefore, Resources freeAfter, double nowSeconds) {
+  boolean reducesAcceleratorSlots(Machine machine, Resources freeAfter, double nowSeconds) {
     for (Demand demand : demandByJobClass.values()) {
+      Resources taskResources = demand.latestJob().taskResources();
       if (demand.isRecent(nowSeconds)
-          && freeAfter.countFitting(demand.taskResources())
-              < freeBefore.countFitting(demand.taskResources())) {
+          && machine.isAllowedFor(demand.latestJob())
+          && freeAfter.countFitting(taskResources)
+              < machine.freeCapacity().countFitting(taskResources)) {
         return true;
       }
     }
--- a/src/main/java/io/violetrail/scheduling/TaskScheduler.java
+++ b/src/main/java/io/violetrail/scheduling/TaskScheduler.java
@@ -142,7 +142,7 @@
       return;
     }
     double nowSeconds = loop.monotonicSeconds();
-    binPacker.beginPass(nowSeconds, machineTypes.prices(), pendingJobs);
+    binPacker.beginPass(nowSeconds, machineTypes, pendingJobs);
     List<Machine> schedulableMachines = findMachinesWithRoom(entity);
     boolean awaitingFirstReports = entity.hasUncertainMachine(nowSeconds);
     Map<String, Resources> remainingQuotaByTeam = new HashMap<>();
@@ -186,7 +186,7 @@
       return;
     }
     List<Job> pendingJobs = pendingQueues.orderedJobs(entity);
-    binPacker.beginPass(nowSeconds, machineTypes.prices(), pendingJobs);
+    binPacker.beginPass(nowSeconds, machineTypes, pendingJobs);
     boolean awaitingFirstReports = entity.hasUncertainMachine(nowSeconds);
     remainingPlacements = MAX_PLACEMENTS_AT_ONCE;
     int gangAttemptCount = 0;
