--- a/src/main/java/io/violetrail/fleet/FreeCapacityForecast.java
+++ b/src/main/java/io/violetrail/fleet/FreeCapacityForecast.java
@@ -1,6 +1,7 @@
 package io.violetrail.fleet;
 
 import io.violetrail.model.JobShape;
+import io.violetrail.model.JobSpec;
 import io.violetrail.model.Resources;
 import io.violetrail.scheduling.RuntimeEstimates;
 import io.violetrail.scheduling.TaskPlacement;
@@ -23,7 +24,11 @@
     this.runtimeEstimates = runtimeEstimates;
   }
 
-  /** Returns what the machine will have free by the time that another of its type has booted. */
+  /**
+   * Returns what the machine will have free by the time that another of its type has booted. A task
+   * without a known end counts as staying: if its room counted as about to be free, no machine
+   * would be rented for tasks that wait for it.
+   */
   Resources freeAtBootTime(Machine machine, double nowSeconds) {
     Resources capacity = machine.freeCapacity();
     for (TaskPlacement placement : machine.placements().values()) {
@@ -61,16 +66,24 @@
     return capacity;
   }
 
+  /**
+   * Returns how long the task is expected to stay on its machine. Infinite if nothing is known
+   * about its end: it belongs to a service, or its job has no estimate. A task that has exceeded
+   * its estimate by some time is expected to stay for as long again.
+   */
   private double remainingSeconds(TaskPlacement placement, double nowSeconds) {
+    if (placement.isStopRequested()) {
+      return placement.stopGraceSeconds();
+    }
+    JobSpec job = placement.job().spec();
+    if (!runtimeEstimates.hasExpectedRuntime(job)) {
+      return Double.POSITIVE_INFINITY;
+    }
     double startedAtSeconds =
         placement.runningSinceSeconds() > 0
             ? placement.runningSinceSeconds()
-            : nowSeconds
-                + placement.job().spec().imageGb() / placement.machine().type().fetchGbPerSecond();
-    return Math.max(
-        0,
-        startedAtSeconds
-            + runtimeEstimates.expectedRuntimeSeconds(placement.job().spec())
-            - nowSeconds);
+            : nowSeconds + job.imageGb() / placement.machine().type().fetchGbPerSecond();
+    double expectedEndAtSeconds = startedAtSeconds + runtimeEstimates.expectedRuntimeSeconds(job);
+    return Math.abs(expectedEndAtSeconds - nowSeconds);
   }
 }
--- a/src/main/java/io/violetrail/fleet/ScaleOut.java
+++ b/src/main/java/io/violetrail/fleet/ScaleOut.java
@@ -254,7 +254,7 @@
    */
   private int wantedTaskCount(OwnedEntity entity, Job job, double nowSeconds) {
     int waitingCount = entity.startableCount(job, nowSeconds);
-    if (job.spec().shape() != JobShape.ARRAY) {
+    if (job.spec().shape() != JobShape.ARRAY || !runtimeEstimates.hasExpectedRuntime(job.spec())) {
       return waitingCount;
     }
     double runSeconds = runtimeEstimates.expectedRuntimeSeconds(job.spec());
--- a/src/main/java/io/violetrail/scheduling/RuntimeEstimates.java
+++ b/src/main/java/io/violetrail/scheduling/RuntimeEstimates.java
@@ -1,5 +1,6 @@
 package io.violetrail.scheduling;
 
+import io.violetrail.model.JobShape;
 import io.violetrail.model.JobSpec;
 import java.util.HashMap;
 import java.util.Map;
@@ -30,7 +31,18 @@
     }
   }
 
-  /** Returns the expected runtime of a task in seconds; at least 1. */
+  /**
+   * Returns whether the end of a task can be expected: the job is not a service, whose replicas run
+   * until it is cancelled, and its user has given an estimate.
+   */
+  public boolean hasExpectedRuntime(JobSpec job) {
+    return job.shape() != JobShape.SERVICE && job.estimatedRuntimeSeconds() > 0;
+  }
+
+  /**
+   * Returns the expected runtime of a task in seconds; at least 1. Without an expected runtime (see
+   * {@link #hasExpectedRuntime}), the result says nothing about the task's end.
+   */
   public double expectedRuntimeSeconds(JobSpec job) {
     return Math.max(
         MIN_RUNTIME_SECONDS,
