Scale-out: a task beyond its estimate is expected to end for a time

Estimates are often too low there, and a task stopped counting as about to end once it was a boot time beyond its estimate, so machines were rented beside it. Change: it counts as about to end until it has taken twice as long or 60 s more; after that it is expected to stay for as long again as it is too late.

--- a/src/main/java/io/violetrail/fleet/FreeCapacityForecast.java
+++ b/src/main/java/io/violetrail/fleet/FreeCapacityForecast.java
@@ -18,6 +18,12 @@
    */
   static final double MAX_SEQUENTIAL_TASKS = 4;
 
+  /**
+   * Estimates are often too low by half and more. So a task that is beyond its estimate is expected
+   * to end at any moment, until it has exceeded it by as much again or by this.
+   */
+  private static final double MAX_OVERRUN_SECONDS = 60;
+
   private final RuntimeEstimates runtimeEstimates;
 
   FreeCapacityForecast(RuntimeEstimates runtimeEstimates) {
@@ -68,8 +74,8 @@
 
   /**
    * Returns how long the task is expected to stay on its machine. Infinite if nothing is known
-   * about its end: it belongs to a service, or its job has no estimate. A task that has exceeded
-   * its estimate by some time is expected to stay for as long again.
+   * about its end: it belongs to a service, or its job has no estimate. A task far beyond its
+   * estimate is expected to stay for as long again as it is too late.
    */
   private double remainingSeconds(TaskPlacement placement, double nowSeconds) {
     if (placement.isStopRequested()) {
@@ -83,7 +89,10 @@
         placement.runningSinceSeconds() > 0
             ? placement.runningSinceSeconds()
             : nowSeconds + job.imageGb() / placement.machine().type().fetchGbPerSecond();
-    double expectedEndAtSeconds = startedAtSeconds + runtimeEstimates.expectedRuntimeSeconds(job);
-    return Math.abs(expectedEndAtSeconds - nowSeconds);
+    double expectedSeconds = runtimeEstimates.expectedRuntimeSeconds(job);
+    double overrunSeconds = nowSeconds - (startedAtSeconds + expectedSeconds);
+    return overrunSeconds <= 0
+        ? -overrunSeconds
+        : Math.max(0, overrunSeconds - Math.min(expectedSeconds, MAX_OVERRUN_SECONDS));
   }
 }
