--- a/src/main/java/io/violetrail/api/JobLifecycle.java
+++ b/src/main/java/io/violetrail/api/JobLifecycle.java
@@ -164,6 +164,14 @@
         spec.taskCount());
   }
 
+  /**
+   * Returns whether the job's submission to this entity waits to be stored or has no known outcome
+   * yet. The job may be stored already, and is opened once that is known.
+   */
+  public boolean isSubmissionPending(OwnedEntity entity, JobId id) {
+    return stores.jobStoreOf(entity).isSubmissionPending(id);
+  }
+
   /** Returns the number of submissions that are waiting to be stored. */
   public int pendingSubmissionCount(OwnedEntity entity) {
     return stores.jobStoreOf(entity).pendingSubmissionCount();
--- a/src/main/java/io/violetrail/api/JobStore.java
+++ b/src/main/java/io/violetrail/api/JobStore.java
@@ -109,6 +109,11 @@
     return pendingSubmissions.size();
   }
 
+  /** Returns whether the job's submission waits to be stored or has no known outcome yet. */
+  boolean isSubmissionPending(JobId id) {
+    return pendingSubmissions.containsKey(id);
+  }
+
   /**
    * Stores a new job and its co-written row, unless the job's id is taken or the co-written row is
    * not at its expected revision.
--- a/src/main/java/io/violetrail/kubernetes/ObjectCreator.java
+++ b/src/main/java/io/violetrail/kubernetes/ObjectCreator.java
@@ -176,9 +176,10 @@
                     httpExchange.answer(ObjectErrors.impossibleJob(object, decision.reason()));
                   } else if (decision.verdict() == Verdict.LATER) {
                     httpExchange.answer(KubernetesStatus.unavailable(decision.reason()));
+                  } else if (decision.verdict() == Verdict.ACCEPTED) {
+                    answerCreatedEarlier(object, httpExchange);
                   } else {
-                    answerExisting(
-                        object, decision.verdict() == Verdict.ACCEPTED ? 201 : 200, httpExchange);
+                    answerExisting(object, 200, httpExchange);
                   }
                 }),
         "admit the native job of a new Job");
@@ -210,6 +211,20 @@
         "store a new Kubernetes object");
   }
 
+  /**
+   * Answers a creation that was applied by an attempt whose reply was lost. Others may have changed
+   * the object since; if it is deleted already, the answer shows it as it was created.
+   */
+  private void answerCreatedEarlier(KubernetesObject object, HttpExchange httpExchange) {
+    queries.read(
+        object.reference(),
+        httpExchange,
+        found -> {
+          boolean stillExists = found != null && found.uid().equals(object.uid());
+          httpExchange.answer(201, (stillExists ? found : object).toJson(), 0);
+        });
+  }
+
   /**
    * Answers a creation whose name is taken: with {@code code} if an earlier attempt of the same
    * creation has stored the object, with a conflict if it is another object.
--- a/src/main/java/io/violetrail/kubernetes/ObjectReconciler.java
+++ b/src/main/java/io/violetrail/kubernetes/ObjectReconciler.java
@@ -237,7 +237,8 @@
 
   /**
    * Cancels the remaining native jobs of a deleted object, and removes the row at its deleted key
-   * once none is left.
+   * once none is left and none can appear any more: without the row, nobody would cancel a native
+   * job whose write turns out to be applied.
    */
   private void cleanUpDeleted(
       OwnedEntity entity, EntityState state, String key, DeletedObject deleted) {
@@ -281,10 +282,15 @@
     }
   }
 
-  /** Returns whether a native job is being looked up or stored. */
+  /**
+   * Returns whether a native job is being looked up or stored. The write may also be one of {@link
+   * ObjectCreator}, which stores a Job together with its native job: others can see and delete the
+   * Job before this controller knows that the write was applied.
+   */
   boolean hasOperationInFlight(OwnedEntity entity, JobId id) {
     EntityState state = stateByEntity.get(entity);
-    return state != null && state.operationsInFlight.contains(id.value());
+    return jobLifecycle.isSubmissionPending(entity, id)
+        || (state != null && state.operationsInFlight.contains(id.value()));
   }
 
   /**
@@ -332,9 +338,10 @@
 
   private void lookUpJob(OwnedEntity entity, JobId id, BiConsumer<EntityState, Runnable> onAbsent) {
     EntityState state = stateByEntity.get(entity);
-    if (state == null || !state.operationsInFlight.add(id.value())) {
+    if (state == null || hasOperationInFlight(entity, id)) {
       return;
     }
+    state.operationsInFlight.add(id.value());
     Runnable finishOperation = () -> state.operationsInFlight.remove(id.value());
     Futures.logFailure(
         jobLifecycle
--- a/src/test/java/io/violetrail/fakes/KubernetesTestClient.java
+++ b/src/test/java/io/violetrail/fakes/KubernetesTestClient.java
@@ -11,6 +11,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Supplier;
 
 /** A client of the Kubernetes API that waits for replies in virtual time. */
 public final class KubernetesTestClient {
@@ -86,6 +87,15 @@
     return captured;
   }
 
+  /** Sends a request without waiting; the result returns its reply, or null before that. */
+  public Supplier<Reply> sendWithoutWaiting(
+      String controller, String method, String target, String json) {
+    CapturedExchange captured = new CapturedExchange();
+    byte[] body = json.getBytes(StandardCharsets.UTF_8);
+    simulation.kubernetesApis().get(controller).handle(request(method, target, body), captured);
+    return () -> captured.reply;
+  }
+
   public Reply send(String controller, String method, String target, String json) {
     byte[] body = json == null ? new byte[0] : json.getBytes(StandardCharsets.UTF_8);
     return exchange(controller, method, target, body).reply;
