Kubernetes, schedules: a retried request keeps to the object that it began with

Callers saw: a deletion whose answer was lost deleted another client's new object of the same name; in the same way updates and pauses changed it. Cause: a request whose transaction has no known outcome read the row again by its name and went on with whatever it found. Change: it keeps to the uid that its first attempt has read. If that is gone, or another object has the name, a deletion is answered as done and a change with 409. A foreground deletion that finds its own mark on a retry is not refused for its resource version.

--- a/src/main/java/io/violetrail/calendar/ScheduleEditor.java
+++ b/src/main/java/io/violetrail/calendar/ScheduleEditor.java
@@ -302,6 +302,13 @@
         name,
         responder,
         row -> {
+          if (!row.uid().equals(attemptedRow.uid())) {
+            // The schedule that the request began with is gone; this one has only its name.
+            responder.accept(
+                JsonResponses.error(
+                    409, "schedule " + name + " was deleted and created again in the meantime"));
+            return;
+          }
           boolean alreadyStored =
               row.version() == attemptedRow.version()
                   && row.isPaused() == attemptedRow.isPaused()
@@ -316,45 +323,61 @@
 
   /** Deletes a schedule and its history. Open runs continue as ordinary jobs. */
   void delete(String name, Consumer<HttpResponse> responder) {
-    delete(name, responder, MAX_ATTEMPTS);
+    queries.read(name, responder, row -> deleteRow(row, responder, MAX_ATTEMPTS));
   }
 
-  private void delete(String name, Consumer<HttpResponse> responder, int attemptsLeft) {
+  private void deleteRow(ScheduleRow row, Consumer<HttpResponse> responder, int attemptsLeft) {
+    Transaction deletion =
+        Tombstones.markDeletion(
+            new Transaction().ifRevision(row.key(), row.modRevision()).delete(row.key()),
+            row.key(),
+            loop.wallMillis());
+    Futures.logFailure(
+        store
+            .commit(deletion)
+            .whenComplete(
+                (outcome, failure) -> {
+                  if (failure != null) {
+                    responder.accept(
+                        JsonResponses.error(503, "the state service did not answer; retry later"));
+                  } else if (outcome.applied()) {
+                    answerDeleted(row, responder);
+                  } else if (attemptsLeft > 0) {
+                    retryDelete(row, responder, attemptsLeft - 1);
+                  } else {
+                    responder.accept(
+                        JsonResponses.error(
+                            503,
+                            "the schedule was changed during each attempt to delete it;"
+                                + " retry later"));
+                  }
+                }),
+        "delete a schedule");
+  }
+
+  /**
+   * Deletes the schedule as it is now, unless it is gone or another one has its name: then an
+   * earlier attempt, whose reply was lost, or another request has deleted it.
+   */
+  private void retryDelete(
+      ScheduleRow attemptedRow, Consumer<HttpResponse> responder, int attemptsLeft) {
     queries.read(
-        name,
+        attemptedRow.name(),
         responder,
-        row ->
-            Futures.logFailure(
-                store
-                    .commit(
-                        Tombstones.markDeletion(
-                            new Transaction()
-                                .ifRevision(row.key(), row.modRevision())
-                                .delete(row.key()),
-                            row.key(),
-                            loop.wallMillis()))
-                    .whenComplete(
-                        (outcome, failure) -> {
-                          if (failure != null) {
-                            responder.accept(
-                                JsonResponses.error(
-                                    503, "the state service did not answer; retry later"));
-                          } else if (outcome.applied()) {
-                            LOG.info("deleted schedule {}", name);
-                            deleteHistory(row);
-                            responder.accept(
-                                JsonResponses.of(200, Cbor.newMap().put("deleted", name)));
-                          } else if (attemptsLeft > 0) {
-                            delete(name, responder, attemptsLeft - 1);
-                          } else {
-                            responder.accept(
-                                JsonResponses.error(
-                                    503,
-                                    "the schedule was changed during each attempt to delete it;"
-                                        + " retry later"));
-                          }
-                        }),
-                "delete a schedule"));
+        () -> answerDeleted(attemptedRow, responder),
+        row -> {
+          if (row.uid().equals(attemptedRow.uid())) {
+            deleteRow(row, responder, attemptsLeft);
+          } else {
+            answerDeleted(attemptedRow, responder);
+          }
+        });
+  }
+
+  private void answerDeleted(ScheduleRow row, Consumer<HttpResponse> responder) {
+    LOG.info("deleted schedule {}", row.name());
+    deleteHistory(row);
+    responder.accept(JsonResponses.of(200, Cbor.newMap().put("deleted", row.name())));
   }
 
   private void deleteHistory(ScheduleRow row) {
--- a/src/main/java/io/violetrail/calendar/ScheduleQueries.java
+++ b/src/main/java/io/violetrail/calendar/ScheduleQueries.java
@@ -41,6 +41,22 @@
    * with an error and does not call {@code onFound}.
    */
   void read(String name, Consumer<HttpResponse> responder, Consumer<ScheduleRow> onFound) {
+    read(
+        name,
+        responder,
+        () -> responder.accept(JsonResponses.error(404, "schedule " + name + " does not exist")),
+        onFound);
+  }
+
+  /**
+   * Reads a schedule for a request. If it cannot be read, answers the request with an error and
+   * calls neither callback.
+   */
+  void read(
+      String name,
+      Consumer<HttpResponse> responder,
+      Runnable onAbsent,
+      Consumer<ScheduleRow> onFound) {
     String key = ScheduleRow.KEY_PREFIX + name;
     Futures.logFailure(
         store
@@ -54,8 +70,7 @@
                             rateLimited ? 429 : 503,
                             "the schedule cannot be read from the state service now; retry later"));
                   } else if (entry.value() == null) {
-                    responder.accept(
-                        JsonResponses.error(404, "schedule " + name + " does not exist"));
+                    onAbsent.run();
                   } else {
                     onFound.accept(ScheduleRow.fromRow(key, entry.value(), entry.modRevision()));
                   }
--- a/src/main/java/io/violetrail/kubernetes/ObjectDeleter.java
+++ b/src/main/java/io/violetrail/kubernetes/ObjectDeleter.java
@@ -80,7 +80,8 @@
             options.path("preconditions"),
             requestedPolicy.equals(BACKGROUND),
             httpExchange),
-        MAX_ATTEMPTS);
+        MAX_ATTEMPTS,
+        null);
   }
 
   /** A deletion and its preconditions. */
@@ -102,17 +103,25 @@
     }
   }
 
-  private void tryDelete(DeleteRequest request, int attemptsLeft) {
+  /**
+   * Reads the object and deletes it. The request keeps to the object that its first attempt has
+   * read: if there is none or another one by now, that object is deleted already, by an earlier
+   * attempt whose reply was lost or by another request.
+   *
+   * @param attempted the object as the previous attempt has read it; null at the first attempt
+   */
+  private void tryDelete(DeleteRequest request, int attemptsLeft, KubernetesObject attempted) {
     HttpExchange httpExchange = request.httpExchange();
     ObjectReference reference = request.reference();
     queries.read(
         reference,
         httpExchange,
         found -> {
-          if (found == null && attemptsLeft < MAX_ATTEMPTS) {
-            // Deleted by an earlier attempt of this request whose reply was lost, or by another
-            // request.
-            request.answerDeleted("");
+          if (attempted != null && (found == null || !found.uid().equals(attempted.uid()))) {
+            request.answerDeleted(attempted.uid());
+          } else if (attempted != null && !request.background() && found.isDeleting()) {
+            // Marked by an earlier attempt of this request, or by another request.
+            httpExchange.answer(200, found.toJson(), 0);
           } else if (found == null) {
             httpExchange.answer(KubernetesStatus.notFound(reference.displayName()));
           } else if (!request.matches(found) || attemptsLeft == 0) {
@@ -135,7 +144,8 @@
             .delete(found.key())
             .put(found.deletedKey(), found.toDeletedRow(nowMillis));
     Tombstones.markDeletion(transaction, found.key(), nowMillis);
-    commit(request, attemptsLeft, transaction, revision -> request.answerDeleted(found.uid()));
+    commit(
+        request, attemptsLeft, found, transaction, revision -> request.answerDeleted(found.uid()));
   }
 
   /** Marks the object for deletion; the entity's owner deletes it once its tasks have stopped. */
@@ -145,6 +155,7 @@
     commit(
         request,
         attemptsLeft,
+        found,
         new Transaction()
             .ifRevision(found.key(), found.resourceVersion())
             .put(found.key(), marked.value()),
@@ -153,7 +164,11 @@
   }
 
   private void commit(
-      DeleteRequest request, int attemptsLeft, Transaction transaction, LongConsumer onApplied) {
+      DeleteRequest request,
+      int attemptsLeft,
+      KubernetesObject found,
+      Transaction transaction,
+      LongConsumer onApplied) {
     Futures.logFailure(
         store
             .commit(transaction)
@@ -164,7 +179,7 @@
                   } else if (outcome.applied()) {
                     onApplied.accept(outcome.revision());
                   } else {
-                    tryDelete(request, attemptsLeft - 1);
+                    tryDelete(request, attemptsLeft - 1, found);
                   }
                 }),
         "delete a Kubernetes object");
--- a/src/main/java/io/violetrail/kubernetes/ObjectUpdater.java
+++ b/src/main/java/io/violetrail/kubernetes/ObjectUpdater.java
@@ -159,6 +159,9 @@
         found -> {
           if (found == null) {
             httpExchange.answer(KubernetesStatus.notFound(reference.displayName()));
+          } else if (attemptedState != null && !found.uid().equals(attemptedState.uid())) {
+            // The object that the request began with is gone; this one has only its name.
+            httpExchange.answer(KubernetesStatus.conflict(reference.displayName()));
           } else if (attemptedState != null && found.value().equals(attemptedState.value())) {
             // An earlier attempt of the same write was applied, but its reply was lost.
             httpExchange.answer(200, found.toJson(), 0);
--- a/src/test/java/io/violetrail/simulation/KubernetesDeletionTest.java
+++ b/src/test/java/io/violetrail/simulation/KubernetesDeletionTest.java
@@ -188,6 +188,76 @@
     assertNothingRunsAfterDeletion(DEPLOYMENTS + "/scan");
   }
 
+  /**
+   * Starts a request of c1 whose transaction is carried out without an answer, and has the object
+   * deleted and created again by others before c1 tries once more.
+   */
+  private Supplier<Reply> sendWithLostReply(String method, String path, String body) {
+    simulation.stateService().lostReplyShare().put("c1", 1.0);
+    Supplier<Reply> reply = client.sendWithoutWaiting("c1", method, path, body);
+    simulation.runFor(0.2);
+    return reply;
+  }
+
+  private String uidOf(String path) {
+    return client.get("c2", path).body().at("/metadata/uid").asText();
+  }
+
+  @Test
+  void repeatedDeletionLeavesNewObjectOfTheSameNameAlone() {
+    // Guards against a retry that reads by name and deletes the object of another client.
+    start();
+    assertEquals(201, client.send("c0", "POST", JOBS, jobManifest(false)).status());
+    simulation.runUntil(40, () -> activeTaskCount() == 2);
+    final Supplier<Reply> deletion = sendWithLostReply("DELETE", JOBS + "/scan", "");
+    assertEquals(404, client.get("c2", JOBS + "/scan").status());
+    assertEquals(201, client.send("c2", "POST", JOBS, jobManifest(false)).status());
+    final String newUid = uidOf(JOBS + "/scan");
+    endFaults();
+    simulation.runUntil(10, () -> deletion.get() != null);
+    assertEquals(200, deletion.get().status());
+    simulation.runFor(20);
+    assertEquals(newUid, uidOf(JOBS + "/scan"));
+    assertEquals(2, activeTaskCount());
+  }
+
+  @Test
+  void repeatedUpdateLeavesNewObjectOfTheSameNameAlone() {
+    start();
+    assertEquals(201, client.send("c0", "POST", DEPLOYMENTS, deploymentManifest(1)).status());
+    simulation.runFor(3);
+    final Supplier<Reply> update =
+        sendWithLostReply("PUT", DEPLOYMENTS + "/scan", deploymentManifest(3));
+    assertEquals(200, client.send("c2", "DELETE", DEPLOYMENTS + "/scan", null).status());
+    assertEquals(201, client.send("c2", "POST", DEPLOYMENTS, deploymentManifest(1)).status());
+    endFaults();
+    simulation.runUntil(10, () -> update.get() != null);
+    assertEquals(409, update.get().status());
+    simulation.runFor(20);
+    assertEquals(1, client.get("c2", DEPLOYMENTS + "/scan").body().at("/spec/replicas").asInt());
+  }
+
+  @Test
+  void repeatedForegroundDeletionWithResourceVersionIsNoConflict() {
+    start();
+    assertEquals(201, client.send("c0", "POST", JOBS, jobManifest(true)).status());
+    simulation.runFor(3);
+    String version =
+        client.get("c2", JOBS + "/scan").body().at("/metadata/resourceVersion").asText();
+    simulation.stateService().lateTransactionSeconds().put("c0", 30.0);
+    Supplier<Reply> deletion =
+        sendWithLostReply(
+            "DELETE",
+            JOBS + "/scan",
+            "{\"propagationPolicy\":\"Foreground\",\"preconditions\":{\"resourceVersion\":\""
+                + version
+                + "\"}}");
+    simulation.stateService().lostReplyShare().clear();
+    simulation.runUntil(10, () -> deletion.get() != null);
+    assertEquals(200, deletion.get().status());
+    endFaults();
+  }
+
   @Test
   void creationOfDeletedNameIsPossibleAgain() {
     start();
--- a/src/test/java/io/violetrail/simulation/ScheduleTest.java
+++ b/src/test/java/io/violetrail/simulation/ScheduleTest.java
@@ -1,6 +1,7 @@
 package io.violetrail.simulation;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -105,6 +106,39 @@
     assertEquals(404, send("c1", "GET", "/schedules/s", null).status());
   }
 
+  @Test
+  void repeatedDeletionLeavesNewScheduleOfTheSameNameAlone() {
+    // Guards against a retry that reads by name and deletes the schedule of another client.
+    startWithSchedules();
+    assertEquals(201, send("c0", "POST", "/schedules", scheduleDefinition("s", 300)).status());
+    simulation.runFor(2);
+    simulation.stateService().lostReplyShare().put("c1", 1.0);
+    final var deletion = simulation.callController("user", "c1", "DELETE", "/schedules/s", null);
+    simulation.runUntil(3, () -> send("c2", "GET", "/schedules/s", null).status() == 404);
+    assertEquals(201, send("c2", "POST", "/schedules", scheduleDefinition("s", 300)).status());
+    simulation.stateService().lostReplyShare().clear();
+    simulation.runUntil(10, deletion::isDone);
+    assertEquals(200, deletion.join().status());
+    simulation.runFor(5);
+    assertEquals(200, send("c2", "GET", "/schedules/s", null).status());
+  }
+
+  @Test
+  void repeatedPauseLeavesNewScheduleOfTheSameNameAlone() {
+    startWithSchedules();
+    assertEquals(201, send("c0", "POST", "/schedules", scheduleDefinition("s", 300)).status());
+    simulation.runFor(2);
+    simulation.stateService().lostReplyShare().put("c1", 1.0);
+    final var pause = simulation.callController("user", "c1", "POST", "/schedules/s/pause", null);
+    simulation.runFor(0.2);
+    assertEquals(200, send("c2", "DELETE", "/schedules/s", null).status());
+    assertEquals(201, send("c2", "POST", "/schedules", scheduleDefinition("s", 300)).status());
+    simulation.stateService().lostReplyShare().clear();
+    simulation.runUntil(10, pause::isDone);
+    assertEquals(409, pause.join().status());
+    assertFalse(send("c2", "GET", "/schedules/s", null).body().path("paused").asBoolean());
+  }
+
   @Test
   void dueTimesDuringPauseAreNotCaughtUp() {
     startWithSchedules();
