--- a/src/main/java/io/violetrail/scheduling/TaskScheduler.java
+++ b/src/main/java/io/violetrail/scheduling/TaskScheduler.java
@@ -160,7 +160,10 @@
               : placeGang(entity, job, schedulableMachines, quota, nowSeconds);
       remainingQuotaByTeam.put(job.spec().team(), quota.minus(used));
     }
-    transferRequests.requestMissingResources(entity);
+    if (remainingPlacements > 0) {
+      // Otherwise the entity's own machines may have room for jobs that the next pass places.
+      transferRequests.requestMissingResources(entity);
+    }
   }
 
   private static List<Machine> findMachinesWithRoom(OwnedEntity entity) {
