--- a/src/main/java/io/violetrail/worker/LeaseRenewal.java
+++ b/src/main/java/io/violetrail/worker/LeaseRenewal.java
@@ -27,8 +27,8 @@
 public final class LeaseRenewal {
   /**
    * Maximum number of commands in a reply, apart from stops; keeps it below the protocol's limit of
-   * 64 KiB. A stop is shorter than its task's entry in the report, so the stops of all reported
-   * tasks fit into a reply as well.
+   * 64 KiB. A stop is shorter than the room that {@link io.violetrail.model.ReportSize} reserves
+   * for its task in a report, so the stops of all tasks placed on a machine fit into a reply too.
    */
   static final int MAX_COMMANDS = 400;
 
--- a/src/test/java/io/violetrail/simulation/AcceleratorRoomTest.java
+++ b/src/test/java/io/violetrail/simulation/AcceleratorRoomTest.java
@@ -78,6 +78,7 @@
 
   @Test
   void jobThatFitsOnlyOnAcceleratorMachinesSharesThemWithAcceleratorJobs() {
+    // Guards against a reserve for accelerator tasks that never ends for a job without other types.
     simulation.startAllControllers();
     user.submit("c0", service(wideTask("job-1", 40)));
     awaitRunning("job-1/0");
@@ -89,6 +90,7 @@
 
   @Test
   void machineIsRentedForJobThatFitsOnlyOnAcceleratorMachines() {
+    // Guards against a job for which no machine is rented as accelerators are in demand.
     simulation.startAllControllers();
     keepAcceleratorsInDemand("slim");
     user.submit("c0", wideTask("job-2", 40));
@@ -133,6 +135,7 @@
 
   @Test
   void urgentJobPreemptsOnTheOnlyMachinesThatItFitsOn() {
+    // Guards against preemption that passes over the only machines that the job may use.
     simulation.cloud().setCapacity(0);
     simulation.startAllControllers();
     final FakeWorker machine = simulation.cloud().addRunningMachine("wide", "a");
@@ -147,6 +150,7 @@
 
   @Test
   void peerTransfersAcceleratorMachineToJobThatFitsOnNoOther() {
+    // Guards against idle machines that a peer keeps from the only job that waits for them.
     resetSimulation(31);
     offerMachinesWithAccelerators();
     simulation.cloud().setCapacity(0);
--- a/src/test/java/io/violetrail/simulation/KubernetesDeletionTest.java
+++ b/src/test/java/io/violetrail/simulation/KubernetesDeletionTest.java
@@ -116,6 +116,7 @@
   @ParameterizedTest
   @EnumSource(Fault.class)
   void jobDeletedWhileItsOwnerIsReplacedStartsNothing(Fault fault) {
+    // Guards against a native job that the next owner finds without the row of its deleted object.
     start();
     startFault(fault);
     client.sendWithoutWaiting("c0", "POST", JOBS, jobManifest(false));
@@ -132,6 +133,7 @@
   @ParameterizedTest
   @EnumSource(Fault.class)
   void jobDeletedInTheForegroundWhileItsCreationIsUndecidedStartsNothing(Fault fault) {
+    // Guards against an object that is gone before its undecided native job is known to be.
     start();
     startFault(fault);
     client.sendWithoutWaiting("c0", "POST", JOBS, jobManifest(false));
@@ -147,6 +149,7 @@
   @ParameterizedTest
   @EnumSource(Fault.class)
   void resumedJobDeletedWhileItsSubmissionIsUndecidedStartsNothing(Fault fault) {
+    // Guards against a submission by the reconciler that is applied after the deletion.
     start();
     assertEquals(201, client.send("c0", "POST", JOBS, jobManifest(true)).status());
     startFault(fault);
@@ -161,6 +164,7 @@
   @ParameterizedTest
   @EnumSource(Fault.class)
   void deploymentDeletedWhileItsReplicasAreUndecidedStartsNothing(Fault fault) {
+    // Guards against replicas that are stored after their Deployment was deleted.
     start();
     assertEquals(201, client.send("c0", "POST", DEPLOYMENTS, deploymentManifest(3)).status());
     startFault(fault);
@@ -174,6 +178,7 @@
   @ParameterizedTest
   @EnumSource(Fault.class)
   void deploymentScaledDownWhileItsReplicasAreUndecidedStartsNothing(Fault fault) {
+    // Guards against replicas that are stored after they were no longer wanted.
     start();
     assertEquals(201, client.send("c0", "POST", DEPLOYMENTS, deploymentManifest(3)).status());
     startFault(fault);
@@ -189,8 +194,8 @@
   }
 
   /**
-   * Starts a request of c1 whose transaction is carried out without an answer, and has the object
-   * deleted and created again by others before c1 tries once more.
+   * Sends a request to c1, whose transaction is carried out while its reply is lost, so that c1
+   * tries once more. All further replies to transactions of c1 are lost, too.
    */
   private Supplier<Reply> sendWithLostReply(String method, String path, String body) {
     simulation.stateService().lostReplyShare().put("c1", 1.0);
@@ -223,6 +228,7 @@
 
   @Test
   void repeatedUpdateLeavesNewObjectOfTheSameNameAlone() {
+    // Guards against a retry that reads by name and changes the object of another client.
     start();
     assertEquals(201, client.send("c0", "POST", DEPLOYMENTS, deploymentManifest(1)).status());
     simulation.runFor(3);
@@ -239,6 +245,7 @@
 
   @Test
   void repeatedForegroundDeletionWithResourceVersionIsNoConflict() {
+    // Guards against a deletion that is refused for the version that its own mark has made.
     start();
     assertEquals(201, client.send("c0", "POST", JOBS, jobManifest(true)).status());
     simulation.runFor(3);
@@ -260,6 +267,7 @@
 
   @Test
   void creationOfDeletedNameIsPossibleAgain() {
+    // Guards against a name that stays taken by an object whose creation was undecided.
     start();
     startFault(Fault.REPLIES_LOST);
     client.sendWithoutWaiting("c0", "POST", JOBS, jobManifest(false));
--- a/src/test/java/io/violetrail/simulation/ScaleOutBesideLongTasksTest.java
+++ b/src/test/java/io/violetrail/simulation/ScaleOutBesideLongTasksTest.java
@@ -70,6 +70,7 @@
 
   @Test
   void gangIsStartedBesideService() {
+    // Guards against replicas whose room counts as about to be free for a whole gang.
     startWorkThatFillsMachine(service("job-1", TASKS_PER_MACHINE));
     user.submit(
         "c0", SimulatedUser.jobRequest("job-2", 6).put("shape", "ensemble").put("one_zone", true));
@@ -79,6 +80,7 @@
 
   @Test
   void roomOfTasksThatEndSoonIsWaitedFor() {
+    // Guards against machines that are rented although room is free before they have booted.
     simulation.cloud().machineTypes().clear();
     simulation
         .cloud()
--- a/src/test/java/io/violetrail/simulation/ScheduleTest.java
+++ b/src/test/java/io/violetrail/simulation/ScheduleTest.java
@@ -125,6 +125,7 @@
 
   @Test
   void repeatedPauseLeavesNewScheduleOfTheSameNameAlone() {
+    // Guards against a retry that reads by name and pauses the schedule of another client.
     startWithSchedules();
     assertEquals(201, send("c0", "POST", "/schedules", scheduleDefinition("s", 300)).status());
     simulation.runFor(2);
--- a/src/test/java/io/violetrail/simulation/WideJobsTest.java
+++ b/src/test/java/io/violetrail/simulation/WideJobsTest.java
@@ -168,6 +168,7 @@
 
   @Test
   void gangsThatNoControllerCanHoldAreRejected() {
+    // Guards against gangs that are accepted but can never start, as the entity limits its tasks.
     simulation.startAllControllers();
     ObjectNode gang =
         wideJob("job-1", TaskCountLimit.MAX_PLACED_TASKS + 1, 0.00001).put("shape", "ensemble");
--- a/src/test/java/io/violetrail/wire/ReportSizeTest.java
+++ b/src/test/java/io/violetrail/wire/ReportSizeTest.java
@@ -8,6 +8,7 @@
 import io.violetrail.model.MachineType;
 import io.violetrail.model.ReportSize;
 import io.violetrail.model.Resources;
+import io.violetrail.net.UndertowServer;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -76,6 +77,13 @@
     }
   }
 
+  // Guards against a bound for reports that is not the one that the server enforces.
+  @Test
+  void limitOfReportsIsThatOfRequestBodies() {
+    assertEquals(UndertowServer.MAX_BODY_BYTES, ReportSize.MAX_REPORT_BYTES);
+  }
+
+  // Guards against a task whose entry is longer than the room that is reserved for it.
   @Test
   void noStateOfTaskIsLongerThanItsBound() {
     JobId job = new JobId("job-000412");
@@ -94,6 +102,7 @@
     }
   }
 
+  // Guards against types that lose the room in reports when they are read from the stored row.
   @Test
   void resourcesOfStoredMachineTypesIncludeRoomInReports() throws Exception {
     MachineType type = new MachineType("t", new Resources(4, 0, 8), 9, 1, 1, 1, 5, List.of("a"));
