--- a/src/main/java/io/violetrail/controller/Controller.java
+++ b/src/main/java/io/violetrail/controller/Controller.java
@@ -40,8 +40,10 @@
 import io.violetrail.fleet.ScaleIn;
 import io.violetrail.fleet.ScaleOut;
 import io.violetrail.fleet.ScaleOutRequests;
+import io.violetrail.fleet.SoldOutOfferings;
 import io.violetrail.fleet.TransferRequests;
 import io.violetrail.fleet.WarmCapacity;
+import io.violetrail.fleet.ZoneSupply;
 import io.violetrail.kubernetes.KubernetesApi;
 import io.violetrail.kubernetes.KubernetesSubsystem;
 import io.violetrail.model.ControllerId;
@@ -63,10 +65,12 @@
 import io.violetrail.scheduling.MachineDrainer;
 import io.violetrail.scheduling.MachineLivenessMonitor;
 import io.violetrail.scheduling.PendingQueues;
+import io.violetrail.scheduling.PlacementConstraints;
 import io.violetrail.scheduling.Preemption;
 import io.violetrail.scheduling.RuntimeEstimates;
 import io.violetrail.scheduling.SchedulingLoop;
 import io.violetrail.scheduling.ServiceLevelObjectives;
+import io.violetrail.scheduling.SingleZonePlanner;
 import io.violetrail.scheduling.TaskFailureHandler;
 import io.violetrail.scheduling.TaskScheduler;
 import io.violetrail.state.StateStore;
@@ -204,13 +208,26 @@
     // Scheduling.
     double heartbeatSeconds = settings.workerTiming().heartbeatIntervalSeconds();
     LongPolls longPolls = new LongPolls(loop, heartbeatSeconds);
-    Preemption preemption = new Preemption(machineTypes, taskStopper::enqueueStop);
+    PlacementConstraints constraints =
+        new PlacementConstraints(objectives, runtimeEstimates, machineTypes);
+    Preemption preemption = new Preemption(constraints, taskStopper::enqueueStop);
+    SoldOutOfferings soldOutOfferings = new SoldOutOfferings(loop);
+    SingleZonePlanner singleZonePlanner =
+        new SingleZonePlanner(
+            constraints, preemption, new ZoneSupply(machineTypes, soldOutOfferings));
     MachineDrainer drainer = new MachineDrainer(loop, preemption);
     BinPacker binPacker =
-        new BinPacker(objectives, runtimeEstimates, random, options.placementSampleSize());
+        new BinPacker(constraints, objectives, machineTypes, random, options.placementSampleSize());
     MachineTransfer machineTransfer =
         new MachineTransfer(
-            loop, membership, machineTypes, entityMachines, drainer, quotaTransfer, longPolls);
+            loop,
+            membership,
+            machineTypes,
+            entityMachines,
+            constraints,
+            drainer,
+            quotaTransfer,
+            longPolls);
     TransferRequests transferRequests =
         new TransferRequests(
             loop,
@@ -222,6 +239,7 @@
             objectives,
             runtimeEstimates,
             quotaTransfer,
+            constraints,
             machineTransfer,
             peerClient);
     taskScheduler =
@@ -229,7 +247,8 @@
             loop,
             membership,
             configuration,
-            machineTypes,
+            constraints,
+            singleZonePlanner,
             pendingQueues,
             binPacker,
             preemption,
@@ -252,7 +271,8 @@
     // Scale out and scale in.
     CloudClient cloud = new CloudClient(loop, http, settings);
     ScaleOutRequests scaleOutRequests =
-        new ScaleOutRequests(loop, store, clusterView, membership, peerClient, cloud);
+        new ScaleOutRequests(
+            loop, store, clusterView, membership, peerClient, cloud, soldOutOfferings);
     autoscaler =
         new Autoscaler(
             loop,
@@ -276,14 +296,17 @@
                 clusterView,
                 machineTypes,
                 pendingQueues,
-                binPacker,
+                constraints,
                 objectives,
                 runtimeEstimates,
                 quotaTransfer,
                 bootTimes,
                 warmCapacity,
-                scaleOutRequests),
+                scaleOutRequests,
+                soldOutOfferings,
+                singleZonePlanner),
             scaleOutRequests,
+            soldOutOfferings,
             new OrphanedMachines(
                 settings, loop, clusterView, membership, machineTypes, entityMachines, cloud));
     entityRecovery =
@@ -380,7 +403,7 @@
             localCancellation,
             workerReachability,
             transferRequests,
-            scaleOutRequests,
+            soldOutOfferings,
             budgetLending,
             peerCodec);
   }
--- a/src/main/java/io/violetrail/fleet/AcceleratorPolicy.java
+++ b/src/main/java/io/violetrail/fleet/AcceleratorPolicy.java
@@ -6,6 +6,7 @@
 import io.violetrail.peer.ResourceRequest;
 import java.util.Collection;
 import java.util.List;
+import java.util.function.Predicate;
 
 /**
  * Decides which machine types suit tasks as far as accelerators are concerned: tasks that use none
@@ -22,41 +23,35 @@
   }
 
   /**
-   * Returns whether the type suits the job's tasks: it has no accelerators, the tasks use some, or
-   * no allowed type without accelerators could run them.
+   * Returns whether the type suits the job's next task: it has no accelerators, the task uses some,
+   * or no allowed type without accelerators could run it.
+   *
+   * @param allowsZone the zones in which the next task may start
    */
-  public boolean suits(JobSpec job, MachineType type) {
-    return type.avoidsIdleAccelerators(job.taskResources()) || needsAcceleratorMachine(job);
+  public boolean suits(JobSpec job, Predicate<String> allowsZone, MachineType type) {
+    return type.avoidsIdleAccelerators(job.taskResources())
+        || hasNoOtherType(job.taskResources(), job.machineTypes(), allowsZone);
   }
 
   /** Returns whether the type suits the tasks for which another entity requests machines. */
   boolean suits(ResourceRequest request, MachineType type) {
-    String zone = request.zone().isEmpty() ? null : request.zone();
     return type.avoidsIdleAccelerators(request.requestedAmounts())
-        || hasNoOtherType(request.requestedAmounts(), request.allowedTypes(), zone);
-  }
-
-  /**
-   * Returns whether the job's tasks use no accelerators but can run only on machines that have
-   * some. Nothing is gained by keeping such a job waiting for them.
-   */
-  public boolean needsAcceleratorMachine(JobSpec job) {
-    return job.taskResources().gpus() == 0
-        && hasNoOtherType(job.taskResources(), job.machineTypes(), job.zone());
+        || hasNoOtherType(request.requestedAmounts(), request.allowedTypes(), request::allowsZone);
   }
 
   /**
-   * Returns whether no type without accelerators has room for the task.
+   * Returns whether no type without accelerators has room for the task. Nothing is gained by
+   * keeping such a task waiting for one.
    *
    * @param allowedTypes the allowed types; null for any
-   * @param zone the only allowed zone; null for any
    */
-  private boolean hasNoOtherType(Resources task, List<String> allowedTypes, String zone) {
+  private boolean hasNoOtherType(
+      Resources task, List<String> allowedTypes, Predicate<String> allowsZone) {
     for (MachineType type : types) {
       if (type.capacity().gpus() == 0
           && task.fitsIn(type.capacity())
           && (allowedTypes == null || allowedTypes.contains(type.name()))
-          && (zone == null || type.zones().contains(zone))) {
+          && type.isOfferedIn(allowsZone)) {
         return false;
       }
     }
--- a/src/main/java/io/violetrail/fleet/Autoscaler.java
+++ b/src/main/java/io/violetrail/fleet/Autoscaler.java
@@ -17,6 +17,7 @@
   private final ScaleIn scaleIn;
   private final ScaleOut scaleOut;
   private final ScaleOutRequests scaleOutRequests;
+  private final SoldOutOfferings soldOutOfferings;
   private final OrphanedMachines orphanedMachines;
 
   /** Creates an autoscaler for the entities that the membership lists as owned. */
@@ -27,6 +28,7 @@
       ScaleIn scaleIn,
       ScaleOut scaleOut,
       ScaleOutRequests scaleOutRequests,
+      SoldOutOfferings soldOutOfferings,
       OrphanedMachines orphanedMachines) {
     this.loop = loop;
     this.membership = membership;
@@ -34,6 +36,7 @@
     this.scaleIn = scaleIn;
     this.scaleOut = scaleOut;
     this.scaleOutRequests = scaleOutRequests;
+    this.soldOutOfferings = soldOutOfferings;
     this.orphanedMachines = orphanedMachines;
   }
 
@@ -46,7 +49,8 @@
   private void runOnce() {
     double nowSeconds = loop.monotonicSeconds();
     scaleOut.drawTieBreak();
-    scaleOutRequests.removeStale(nowSeconds);
+    scaleOutRequests.removeStale();
+    soldOutOfferings.removeExpired(nowSeconds);
     if (!membership.isLeaseValid()) {
       return;
     }
--- a/src/main/java/io/violetrail/fleet/MachineTransfer.java
+++ b/src/main/java/io/violetrail/fleet/MachineTransfer.java
@@ -11,7 +11,9 @@
 import io.violetrail.peer.ResourceRequest;
 import io.violetrail.scheduling.Job;
 import io.violetrail.scheduling.MachineDrainer;
+import io.violetrail.scheduling.PlacementConstraints;
 import io.violetrail.scheduling.Preemption;
+import io.violetrail.scheduling.ZoneAllowance;
 import io.violetrail.worker.LongPolls;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -47,6 +49,7 @@
   private final Membership membership;
   private final MachineTypes machineTypes;
   private final EntityMachines entityMachines;
+  private final PlacementConstraints constraints;
   private final MachineDrainer drainer;
   private final QuotaTransfer quotaTransfer;
   private final LongPolls longPolls;
@@ -57,6 +60,7 @@
       Membership membership,
       MachineTypes machineTypes,
       EntityMachines entityMachines,
+      PlacementConstraints constraints,
       MachineDrainer drainer,
       QuotaTransfer quotaTransfer,
       LongPolls longPolls) {
@@ -64,6 +68,7 @@
     this.membership = membership;
     this.machineTypes = machineTypes;
     this.entityMachines = entityMachines;
+    this.constraints = constraints;
     this.drainer = drainer;
     this.quotaTransfer = quotaTransfer;
     this.longPolls = longPolls;
@@ -83,10 +88,10 @@
       ResourceRequest request,
       Map<String, Resources> availableQuotaByTeam) {
     double nowSeconds = loop.monotonicSeconds();
-    List<Job> jobsAhead = startableJobsAheadOf(entity, request, availableQuotaByTeam, nowSeconds);
-    if (!request.starving() && hasJobWaitingAheadOf(entity, request)) {
-      return;
-    }
+    List<Job> jobsAhead =
+        request.starving()
+            ? startableJobsAheadOf(entity, request, availableQuotaByTeam, nowSeconds)
+            : jobsWaitingAheadOf(entity, request);
     int uncoveredTasks =
         transferIdleMachines(entity, recipientRow, request, jobsAhead, request.tasks(), nowSeconds);
     if (uncoveredTasks <= 0 || !jobsAhead.isEmpty()) {
@@ -116,9 +121,11 @@
       int taskSlots = taskSlots(machine, request);
       // A machine that was emptied for a starving request is transferred even if the tasks that
       // were preempted on it now wait in this entity.
+      boolean isReserved = nowSeconds <= machine.reservedForTransferUntilSeconds();
       boolean isReleasable =
-          (request.starving() && nowSeconds <= machine.reservedForTransferUntilSeconds())
-              || !isUsableByAny(jobsAhead, machine);
+          isReserved
+              ? request.starving() || jobsAhead.isEmpty()
+              : !isUsableByAny(jobsAhead, machine, nowSeconds);
       if (taskSlots > 0 && machine.isEmpty() && isTransferable(machine, request) && isReleasable) {
         uncoveredTasks -= taskSlots;
         transferMachine(entity, machine, recipientRow);
@@ -210,6 +217,7 @@
             .priceRatio(
                 request.requestedAmounts(),
                 request.allowedTypes(),
+                request::allowsZone,
                 machine.type(),
                 machine.row().spot(),
                 request.tasks());
@@ -220,11 +228,11 @@
   }
 
   /**
-   * Returns whether a job of the entity is ordered before the request and waits for the same kind
-   * of machine.
+   * Returns the entity's jobs that are ordered before the request and wait for the same kind of
+   * machine.
    */
-  private static boolean hasJobWaitingAheadOf(OwnedEntity entity, ResourceRequest request) {
-    return entity.jobs().values().stream().anyMatch(job -> waitsAheadOf(job, request));
+  private static List<Job> jobsWaitingAheadOf(OwnedEntity entity, ResourceRequest request) {
+    return entity.jobs().values().stream().filter(job -> waitsAheadOf(job, request)).toList();
   }
 
   /**
@@ -266,11 +274,11 @@
     return jobsAhead;
   }
 
-  /** Returns whether one of the jobs may use the machine and has tasks that fit on it. */
-  private static boolean isUsableByAny(List<Job> jobs, Machine machine) {
+  /** Returns whether the next task of one of the jobs could run on the machine. */
+  private boolean isUsableByAny(List<Job> jobs, Machine machine, double nowSeconds) {
     for (Job job : jobs) {
-      if (machine.isAllowedFor(job.spec())
-          && machine.type().capacity().countFitting(job.spec().taskResources()) > 0) {
+      if (job.spec().taskResources().fitsIn(machine.type().capacity())
+          && constraints.mayUse(job, machine, ZoneAllowance.of(job), nowSeconds)) {
         return true;
       }
     }
--- a/src/main/java/io/violetrail/fleet/MachineTypes.java
+++ b/src/main/java/io/violetrail/fleet/MachineTypes.java
@@ -23,6 +23,8 @@
 
   private final ClusterView clusterView;
   private final Map<String, MachineType> byName = new HashMap<>();
+  private final Prices prices = new Prices(byName.values());
+  private final AcceleratorPolicy acceleratorPolicy = new AcceleratorPolicy(byName.values());
 
   /** The stored row that was last loaded into {@link #byName}, compared by identity. */
   private Object loadedRow;
@@ -61,12 +63,14 @@
 
   /** Returns the prices of tasks on the types known now. */
   public Prices prices() {
-    return new Prices(all());
+    loadStoredTypes();
+    return prices;
   }
 
   /** Returns which of the types known now suit tasks as far as accelerators are concerned. */
   public AcceleratorPolicy acceleratorPolicy() {
-    return new AcceleratorPolicy(all());
+    loadStoredTypes();
+    return acceleratorPolicy;
   }
 
   /** Replaces all known types by the given ones. */
--- a/src/main/java/io/violetrail/fleet/OfferingSelector.java
+++ b/src/main/java/io/violetrail/fleet/OfferingSelector.java
@@ -2,6 +2,7 @@
 
 import io.violetrail.model.MachineType;
 import io.violetrail.scheduling.Job;
+import io.violetrail.scheduling.ZoneAllowance;
 import java.util.Collection;
 import java.util.Objects;
 import java.util.function.Predicate;
@@ -55,28 +56,29 @@
   /**
    * Finds the cheapest offering for a job's tasks.
    *
-   * @param onlyZone the zone to rent in; null for any
+   * @param allowance the zones in which the tasks may start, and how many of them
    * @return null if every offering is unsuitable, sold out or too expensive
    */
-  MachineOffering findCheapest(Job job, int taskCount, String onlyZone) {
+  MachineOffering findCheapest(Job job, int taskCount, ZoneAllowance allowance) {
     MachineOffering best = null;
     double bestCost = Double.POSITIVE_INFINITY;
     double maxPriceRatio = maxPriceRatioOf.applyAsDouble(job);
     for (MachineType type : types) {
       if (type.capacity().countFitting(job.spec().taskResources()) == 0
-          || !suitsAcceleratorNeed(job, type)) {
+          || !suitsAcceleratorNeed(job, allowance, type)) {
         continue;
       }
       for (String zone : type.zones()) {
-        if (onlyZone != null && !onlyZone.equals(zone)) {
+        int zoneTaskCount = Math.min(taskCount, allowance.remaining(zone));
+        if (zoneTaskCount == 0) {
           continue;
         }
         for (boolean spot : new boolean[] {true, false}) {
           MachineOffering offering = new MachineOffering(type.name(), zone, spot);
-          if (!isEligible(job, type, offering, taskCount, maxPriceRatio)) {
+          if (!isEligible(job, allowance, type, offering, zoneTaskCount, maxPriceRatio)) {
             continue;
           }
-          double cost = costPerTask(job, offering, taskCount);
+          double cost = costPerTask(job, offering, zoneTaskCount);
           if (cost < bestCost) {
             bestCost = cost;
             best = offering;
@@ -88,19 +90,25 @@
   }
 
   private boolean isEligible(
-      Job job, MachineType type, MachineOffering offering, int taskCount, double maxPriceRatio) {
+      Job job,
+      ZoneAllowance allowance,
+      MachineType type,
+      MachineOffering offering,
+      int taskCount,
+      double maxPriceRatio) {
     return job.spec().allowsMachine(offering.type(), offering.zone(), offering.spot())
         && !isSoldOut.test(offering)
-        && prices.isWorthwhile(job.spec(), type, offering.spot(), taskCount, maxPriceRatio);
+        && prices.isWorthwhile(
+            job.spec(), allowance::allows, type, offering.spot(), taskCount, maxPriceRatio);
   }
 
   /**
-   * Returns whether a machine of the type may be used for the job's tasks, given its accelerators.
-   * Without this rule, expensive machines with accelerators were rented for jobs that had waited
-   * long and were then not placed there; that was one in seven hours of a day's cost.
+   * Returns whether a machine of the type may be used for the job's next tasks, given its
+   * accelerators. Without this rule, expensive machines with accelerators were rented for jobs that
+   * had waited long and were then not placed there; that was one in seven hours of a day's cost.
    */
-  boolean suitsAcceleratorNeed(Job job, MachineType type) {
-    return !acceleratorsWanted || acceleratorPolicy.suits(job.spec(), type);
+  boolean suitsAcceleratorNeed(Job job, ZoneAllowance allowance, MachineType type) {
+    return !acceleratorsWanted || acceleratorPolicy.suits(job.spec(), allowance::allows, type);
   }
 
   /** Returns the hourly price per task, raised for the time of boot and image fetch. */
--- a/src/main/java/io/violetrail/fleet/Prices.java
+++ b/src/main/java/io/violetrail/fleet/Prices.java
@@ -5,6 +5,7 @@
 import io.violetrail.model.Resources;
 import java.util.Collection;
 import java.util.List;
+import java.util.function.Predicate;
 
 /**
  * Computes what a task costs on a machine, compared with the cheapest machine type for it. Based on
@@ -31,21 +32,35 @@
     return Math.max(1, Math.min(type.capacity().countFitting(task), taskCount));
   }
 
-  /** Returns a task's price on the type as a multiple of the cheapest on-demand price. */
+  /**
+   * Returns a task's price on the type as a multiple of the cheapest on-demand price, whatever the
+   * job's other tasks.
+   */
   public double priceRatio(JobSpec job, MachineType type, boolean spot, int taskCount) {
-    return priceRatio(job.taskResources(), job.machineTypes(), type, spot, taskCount);
+    return priceRatio(
+        job.taskResources(), job.machineTypes(), job::allowsZone, type, spot, taskCount);
   }
 
   /**
    * Returns a task's price on the type as a multiple of the cheapest on-demand price, out of the
-   * allowed types or of all types if {@code allowedTypes} is null.
+   * types that are allowed and offered in an allowed zone. Types that are offered only elsewhere
+   * must not count: a task that may run in a zone with dear types alone would wait for a price that
+   * it cannot get.
+   *
+   * @param allowedTypes the allowed types; null for any
    */
   public double priceRatio(
-      Resources task, List<String> allowedTypes, MachineType type, boolean spot, int taskCount) {
+      Resources task,
+      List<String> allowedTypes,
+      Predicate<String> allowsZone,
+      MachineType type,
+      boolean spot,
+      int taskCount) {
     double cheapest = Double.POSITIVE_INFINITY;
     for (MachineType candidate : types) {
       if (candidate.capacity().countFitting(task) > 0
-          && (allowedTypes == null || allowedTypes.contains(candidate.name()))) {
+          && (allowedTypes == null || allowedTypes.contains(candidate.name()))
+          && candidate.isOfferedIn(allowsZone)) {
         cheapest = Math.min(cheapest, pricePerTask(task, candidate, false, taskCount));
       }
     }
@@ -59,7 +74,23 @@
    */
   public boolean isWorthwhile(
       JobSpec job, MachineType type, boolean spot, int taskCount, double maxPriceRatio) {
-    return priceRatio(job, type, spot, taskCount) <= maxPriceRatio;
+    return isWorthwhile(job, job::allowsZone, type, spot, taskCount, maxPriceRatio);
+  }
+
+  /**
+   * Returns the same for the job's next tasks.
+   *
+   * @param allowsZone the zones in which they may start
+   */
+  public boolean isWorthwhile(
+      JobSpec job,
+      Predicate<String> allowsZone,
+      MachineType type,
+      boolean spot,
+      int taskCount,
+      double maxPriceRatio) {
+    return priceRatio(job.taskResources(), job.machineTypes(), allowsZone, type, spot, taskCount)
+        <= maxPriceRatio;
   }
 
   /**
--- a/src/main/java/io/violetrail/fleet/ScaleOut.java
+++ b/src/main/java/io/violetrail/fleet/ScaleOut.java
@@ -6,11 +6,13 @@
 import io.violetrail.model.Resources;
 import io.violetrail.ownership.ClusterView;
 import io.violetrail.ownership.OwnedEntity;
-import io.violetrail.scheduling.BinPacker;
 import io.violetrail.scheduling.Job;
 import io.violetrail.scheduling.PendingQueues;
+import io.violetrail.scheduling.PlacementConstraints;
 import io.violetrail.scheduling.RuntimeEstimates;
 import io.violetrail.scheduling.ServiceLevelObjectives;
+import io.violetrail.scheduling.SingleZonePlanner;
+import io.violetrail.scheduling.ZoneAllowance;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -34,13 +36,15 @@
   private final ClusterView clusterView;
   private final MachineTypes machineTypes;
   private final PendingQueues pendingQueues;
-  private final BinPacker binPacker;
+  private final PlacementConstraints constraints;
   private final ServiceLevelObjectives serviceLevelObjectives;
   private final RuntimeEstimates runtimeEstimates;
   private final QuotaTransfer quotaTransfer;
   private final BootTimes bootTimes;
   private final WarmCapacity warmCapacity;
   private final ScaleOutRequests scaleOutRequests;
+  private final SoldOutOfferings soldOutOfferings;
+  private final SingleZonePlanner singleZonePlanner;
   private final FreeCapacityForecast capacityForecast;
   private int tieBreakSeed;
 
@@ -51,25 +55,29 @@
       ClusterView clusterView,
       MachineTypes machineTypes,
       PendingQueues pendingQueues,
-      BinPacker binPacker,
+      PlacementConstraints constraints,
       ServiceLevelObjectives objectives,
       RuntimeEstimates runtimeEstimates,
       QuotaTransfer quotaTransfer,
       BootTimes bootTimes,
       WarmCapacity warmCapacity,
-      ScaleOutRequests scaleOutRequests) {
+      ScaleOutRequests scaleOutRequests,
+      SoldOutOfferings soldOutOfferings,
+      SingleZonePlanner singleZonePlanner) {
     this.settings = settings;
     this.random = random;
     this.clusterView = clusterView;
     this.machineTypes = machineTypes;
     this.pendingQueues = pendingQueues;
-    this.binPacker = binPacker;
+    this.constraints = constraints;
     this.serviceLevelObjectives = objectives;
     this.runtimeEstimates = runtimeEstimates;
     this.quotaTransfer = quotaTransfer;
     this.bootTimes = bootTimes;
     this.warmCapacity = warmCapacity;
     this.scaleOutRequests = scaleOutRequests;
+    this.soldOutOfferings = soldOutOfferings;
+    this.singleZonePlanner = singleZonePlanner;
     this.capacityForecast = new FreeCapacityForecast(runtimeEstimates);
   }
 
@@ -80,6 +88,7 @@
 
   /** Packs the entity's pending tasks into its machines, and rents machines for the rest. */
   void rentForPendingTasks(OwnedEntity entity, double nowSeconds) {
+    constraints.beginPass(pendingQueues.orderedJobs(entity));
     ScaleOutPlan plan = newPlan(nowSeconds);
     addMachines(entity, plan, nowSeconds);
     Map<MachineOffering, Integer> pendingCounts = scaleOutRequests.pendingMachineCounts(entity);
@@ -103,14 +112,20 @@
     OfferingSelector selector =
         new OfferingSelector(
             machineTypes.all(),
-            binPacker.hasRecentAcceleratorDemand(nowSeconds),
+            constraints.hasRecentAcceleratorDemand(nowSeconds),
             machineTypes.prices(),
-            scaleOutRequests::isSoldOut,
+            soldOutOfferings::contains,
             job ->
                 serviceLevelObjectives.maxPriceRatio(
                     job, nowSeconds, runtimeEstimates.expectedRuntimeSeconds(job.spec())),
             tieBreakSeed);
-    return new ScaleOutPlan(machineTypes.all(), selector, maxBootingMachines());
+    return new ScaleOutPlan(
+        machineTypes.all(),
+        selector,
+        constraints,
+        singleZonePlanner,
+        maxBootingMachines(),
+        nowSeconds);
   }
 
   /**
@@ -125,11 +140,11 @@
             && bootTimes.isLate(machine.type(), machine.rentedAtSeconds(), nowSeconds)) {
           remainingReplacements--;
         } else {
-          plan.addBooting(offeringOf(machine), machine.type().capacity());
+          plan.addBooting(MachineOffering.of(machine), machine.type().capacity());
         }
       } else if (machine.isSchedulable()) {
         plan.addRunning(
-            offeringOf(machine),
+            machine,
             capacityForecast.freeAtBootTime(machine, nowSeconds),
             capacityForecast.sequentialCapacity(machine, nowSeconds));
       }
@@ -189,7 +204,8 @@
         !urgent
             && nowSeconds - job.arrivedAtSeconds() < TransferRequests.SCALE_OUT_DELAY_SECONDS
             && clusterView.aliveControllerCount() > 1;
-    boolean hasProbeMachine = job.failureHistory().isSuspect() && hasMachineForProbe(entity, job);
+    boolean hasProbeMachine =
+        job.failureHistory().isSuspect() && hasMachineForProbe(entity, job, nowSeconds);
     return entity.startableCount(job, nowSeconds) == 0
         || (job.loadedFromStore() && awaitingFirstReports)
         || awaitingPeerMachines
@@ -209,10 +225,11 @@
   }
 
   /** Returns whether the entity's schedulable machines have the capacity for a probe of the job. */
-  private static boolean hasMachineForProbe(OwnedEntity entity, Job job) {
+  private boolean hasMachineForProbe(OwnedEntity entity, Job job, double nowSeconds) {
     int slots = 0;
+    ZoneAllowance allowance = ZoneAllowance.of(job);
     for (Machine machine : entity.machines().values()) {
-      if (machine.isSchedulable() && machine.isAllowedFor(job.spec())) {
+      if (machine.isSchedulable() && constraints.mayUse(job, machine, allowance, nowSeconds)) {
         slots += machine.type().capacity().countFitting(job.spec().taskResources());
       }
     }
@@ -244,10 +261,6 @@
             });
   }
 
-  private static MachineOffering offeringOf(Machine machine) {
-    return new MachineOffering(machine.row().type(), machine.row().zone(), machine.row().spot());
-  }
-
   /**
    * Returns for how many of the job's pending tasks to rent capacity. The other tasks of an array
    * run after them on the same machines if the job's deadline allows it.
--- a/src/main/java/io/violetrail/fleet/ScaleOutRequests.java
+++ b/src/main/java/io/violetrail/fleet/ScaleOutRequests.java
@@ -34,25 +34,17 @@
 public final class ScaleOutRequests {
   private static final Logger LOG = LoggerFactory.getLogger(ScaleOutRequests.class);
 
-  /** How long an on-demand offering counts as sold out after the provider has rented too few. */
-  private static final double SOLD_OUT_SECONDS = 20;
-
-  /** Longer for spot machines: they rarely become available again, and each request uses a call. */
-  private static final double SOLD_OUT_SPOT_SECONDS = 75;
-
   private final EventLoop loop;
   private final StateStore store;
   private final ClusterView clusterView;
   private final Membership membership;
   private final PeerClient peerClient;
   private final CloudClient cloud;
+  private final SoldOutOfferings soldOutOfferings;
 
   /** Requests whose rows are not removed yet, by request name. */
   private final Map<String, ScaleOutRequest> requestsByName = new HashMap<>();
 
-  /** Until when an offering counts as sold out, in seconds of the monotonic clock. */
-  private final Map<MachineOffering, Double> soldOutUntilSeconds = new HashMap<>();
-
   /** Creates an object for one controller, without any requests. */
   public ScaleOutRequests(
       EventLoop loop,
@@ -60,13 +52,15 @@
       ClusterView clusterView,
       Membership membership,
       PeerClient peerClient,
-      CloudClient cloud) {
+      CloudClient cloud,
+      SoldOutOfferings soldOutOfferings) {
     this.loop = loop;
     this.store = store;
     this.clusterView = clusterView;
     this.membership = membership;
     this.peerClient = peerClient;
     this.cloud = cloud;
+    this.soldOutOfferings = soldOutOfferings;
   }
 
   /**
@@ -144,14 +138,9 @@
     }
   }
 
-  /** Removes the requests of entities that are no longer owned, and expired sold-out marks. */
-  void removeStale(double nowSeconds) {
+  /** Removes the requests of entities that are no longer owned. */
+  void removeStale() {
     requestsByName.values().removeIf(request -> request.entity().phase() == OwnedEntity.Phase.LOST);
-    soldOutUntilSeconds.values().removeIf(until -> until < nowSeconds);
-  }
-
-  boolean isSoldOut(MachineOffering offering) {
-    return soldOutUntilSeconds.containsKey(offering);
   }
 
   /** Returns how many requested machines of an entity are not recorded yet, by offering. */
@@ -193,20 +182,13 @@
         offering,
         machines);
     if (machines.size() < request.count()) {
-      markSoldOut(offering);
+      soldOutOfferings.mark(offering);
       peerClient.announceSoldOut(offering.type(), offering.zone(), offering.spot());
     }
     request.startRecording();
     recordMachines(request, machines);
   }
 
-  /** Marks an offering as sold out for a while, after the provider's answer or a peer's message. */
-  public void markSoldOut(MachineOffering offering) {
-    soldOutUntilSeconds.put(
-        offering,
-        loop.monotonicSeconds() + (offering.spot() ? SOLD_OUT_SPOT_SECONDS : SOLD_OUT_SECONDS));
-  }
-
   /** Records the rented machines that are not adopted already, then removes the request. */
   private void recordMachines(ScaleOutRequest request, List<MachineId> machines) {
     OwnedEntity entity = request.entity();
--- a/src/main/java/io/violetrail/fleet/TransferRequests.java
+++ b/src/main/java/io/violetrail/fleet/TransferRequests.java
@@ -13,10 +13,13 @@
 import io.violetrail.peer.ResourceRequest;
 import io.violetrail.scheduling.Job;
 import io.violetrail.scheduling.PendingQueues;
+import io.violetrail.scheduling.PlacementConstraints;
 import io.violetrail.scheduling.RuntimeEstimates;
 import io.violetrail.scheduling.ServiceLevelObjectives;
+import io.violetrail.scheduling.ZoneAllowance;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -52,6 +55,7 @@
   private final ServiceLevelObjectives serviceLevelObjectives;
   private final RuntimeEstimates runtimeEstimates;
   private final QuotaTransfer quotaTransfer;
+  private final PlacementConstraints constraints;
   private final MachineTransfer machineTransfer;
   private final PeerClient peerClient;
   private double lastRequestAtSeconds = Double.NEGATIVE_INFINITY;
@@ -76,6 +80,7 @@
       ServiceLevelObjectives serviceLevelObjectives,
       RuntimeEstimates runtimeEstimates,
       QuotaTransfer quotaTransfer,
+      PlacementConstraints constraints,
       MachineTransfer machineTransfer,
       PeerClient peerClient) {
     this.loop = loop;
@@ -87,6 +92,7 @@
     this.serviceLevelObjectives = serviceLevelObjectives;
     this.runtimeEstimates = runtimeEstimates;
     this.quotaTransfer = quotaTransfer;
+    this.constraints = constraints;
     this.machineTransfer = machineTransfer;
     this.peerClient = peerClient;
   }
@@ -147,7 +153,7 @@
     int startableCount = Math.min(allowedCount, entity.startableCount(job, nowSeconds));
     // Best-effort jobs need quota like any other job, but request machines only when starving.
     if (startableCount > 0 && (!job.bestEffort() || job.isStarving(nowSeconds))) {
-      requests.add(machineRequest(entity, job, startableCount));
+      addMachineRequests(entity, job, startableCount, nowSeconds, requests);
     }
   }
 
@@ -171,53 +177,73 @@
   }
 
   /**
-   * Builds a request for machines for a job. A job that must run in one zone but may choose it
-   * requests only what is missing in the zone where it has the most free slots: with machines of
-   * several zones, some would stay idle.
+   * Requests machines for a job. If its constraints depend on the zones of its other tasks, each
+   * request is for one zone and for no more tasks than may start there: machines of other zones
+   * would stay idle.
    */
-  private ResourceRequest machineRequest(OwnedEntity entity, Job job, int taskCount) {
-    if (!job.spec().singleZone() || job.spec().zone() != null) {
-      return buildMachineRequest(job, taskCount);
+  private void addMachineRequests(
+      OwnedEntity entity,
+      Job job,
+      int taskCount,
+      double nowSeconds,
+      List<ResourceRequest> requests) {
+    if (!job.spec().singleZone() && !job.spec().spreadAcrossZones()) {
+      requests.add(buildMachineRequest(job, taskCount));
+      return;
+    }
+    ZoneAllowance allowance = ZoneAllowance.of(job);
+    Map<String, Integer> slotsByZone = countSlotsByZone(entity, job, allowance, nowSeconds);
+    List<String> zones = zonesByFreeSlots(slotsByZone);
+    if (job.spec().singleZone()) {
+      zones = zones.subList(0, Math.min(1, zones.size()));
+    }
+    int missingCount = taskCount;
+    for (String zone : zones) {
+      missingCount -= slotsByZone.get(zone);
+    }
+    // At least one is requested: other jobs may use the free slots first.
+    missingCount = Math.max(1, missingCount);
+    for (String zone : zones) {
+      int zoneCount = Math.min(missingCount, allowance.remaining(zone) - slotsByZone.get(zone));
+      if (zoneCount > 0) {
+        requests.add(buildMachineRequest(job, zoneCount).withZone(zone));
+        missingCount -= zoneCount;
+      }
     }
-    Map<String, Integer> slotsByZone = countSlotsByZone(entity, job);
-    String bestZone = chooseZoneWithMostSlots(slotsByZone);
-    int missingCount = Math.max(1, taskCount - slotsByZone.getOrDefault(bestZone, 0));
-    return buildMachineRequest(job, missingCount).withZone(bestZone);
   }
 
-  /** Returns the free task slots for the job in each zone that offers large enough machines. */
-  private Map<String, Integer> countSlotsByZone(OwnedEntity entity, Job job) {
+  /**
+   * Returns the free task slots in each zone that offers large enough machines and in which the
+   * job's next task may start; at most as many as may start there.
+   */
+  private Map<String, Integer> countSlotsByZone(
+      OwnedEntity entity, Job job, ZoneAllowance allowance, double nowSeconds) {
     Map<String, Integer> slotsByZone = new HashMap<>();
     for (MachineType machineType : machineTypes.all()) {
       if (machineType.capacity().countFitting(job.spec().taskResources()) > 0) {
-        machineType.zones().forEach(zone -> slotsByZone.put(zone, 0));
+        machineType.zones().stream()
+            .filter(allowance::allows)
+            .forEach(zone -> slotsByZone.put(zone, 0));
       }
     }
-    AcceleratorPolicy acceleratorPolicy = machineTypes.acceleratorPolicy();
     for (Machine machine : entity.machines().values()) {
-      if (machine.isSchedulable()
-          && acceleratorPolicy.suits(job.spec(), machine.type())
-          && machine.isAllowedFor(job.spec())) {
-        slotsByZone.merge(
-            machine.row().zone(),
-            machine.freeCapacity().countFitting(job.spec().taskResources()),
-            Integer::sum);
+      int slots = machine.freeCapacity().countFitting(job.spec().taskResources());
+      if (slots > 0
+          && machine.isSchedulable()
+          && constraints.isSuitable(job, machine, allowance, nowSeconds)) {
+        slotsByZone.merge(machine.row().zone(), slots, Integer::sum);
       }
     }
+    slotsByZone.replaceAll((zone, slots) -> Math.min(slots, allowance.remaining(zone)));
     return slotsByZone;
   }
 
-  /** Returns the zone with the most slots, a random one of equals; empty if there are no zones. */
-  private String chooseZoneWithMostSlots(Map<String, Integer> slotsByZone) {
+  /** Returns the zones, those with the most slots first, in a random order of equals. */
+  private List<String> zonesByFreeSlots(Map<String, Integer> slotsByZone) {
     List<String> zones = new ArrayList<>(slotsByZone.keySet());
     Collections.shuffle(zones, random);
-    String bestZone = "";
-    for (String zone : zones) {
-      if (bestZone.isEmpty() || slotsByZone.get(zone) > slotsByZone.get(bestZone)) {
-        bestZone = zone;
-      }
-    }
-    return bestZone;
+    zones.sort(Comparator.comparing((String zone) -> -slotsByZone.get(zone)));
+    return zones;
   }
 
   private ResourceRequest buildMachineRequest(Job job, int taskCount) {
--- a/src/main/java/io/violetrail/model/JobSpec.java
+++ b/src/main/java/io/violetrail/model/JobSpec.java
@@ -44,10 +44,15 @@
   /** Returns whether the job's constraints admit a machine of this type, zone and pricing model. */
   public boolean allowsMachine(String machineType, String machineZone, boolean spotMachine) {
     return (machineTypes == null || machineTypes.contains(machineType))
-        && (zone == null || zone.equals(machineZone))
+        && allowsZone(machineZone)
         && (spotAllowed || !spotMachine);
   }
 
+  /** Returns whether the job's constraints admit the zone, apart from its other tasks. */
+  public boolean allowsZone(String machineZone) {
+    return zone == null || zone.equals(machineZone);
+  }
+
   /** Returns the maximum number of tasks in a zone. */
   public int maxTasksPerZone() {
     return spreadAcrossZones ? (taskCount + 1) / 2 : taskCount;
--- a/src/main/java/io/violetrail/model/MachineType.java
+++ b/src/main/java/io/violetrail/model/MachineType.java
@@ -1,6 +1,7 @@
 package io.violetrail.model;
 
 import java.util.List;
+import java.util.function.Predicate;
 
 /**
  * A type of machine that the cloud offers. Prices are per hour. The capacity includes the room for
@@ -23,6 +24,16 @@
     capacity = capacity.withReportBytes(ReportSize.bytesForTasks());
   }
 
+  /** Returns whether the type is offered in one of the allowed zones. */
+  public boolean isOfferedIn(Predicate<String> allowsZone) {
+    for (String zone : zones) {
+      if (allowsZone.test(zone)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Returns the price per hour of a spot machine or of an on-demand machine. */
   public double priceFor(boolean spot) {
     return spot ? spotPrice : onDemandPrice;
--- a/src/main/java/io/violetrail/peer/PeerService.java
+++ b/src/main/java/io/violetrail/peer/PeerService.java
@@ -8,7 +8,7 @@
 import io.violetrail.configuration.Configuration;
 import io.violetrail.configuration.ConfigurationState;
 import io.violetrail.fleet.MachineOffering;
-import io.violetrail.fleet.ScaleOutRequests;
+import io.violetrail.fleet.SoldOutOfferings;
 import io.violetrail.fleet.TransferRequests;
 import io.violetrail.model.ControllerId;
 import io.violetrail.model.JobId;
@@ -40,7 +40,7 @@
   private final LocalCancellation localCancellation;
   private final WorkerReachability workerReachability;
   private final TransferRequests transferRequests;
-  private final ScaleOutRequests scaleOutRequests;
+  private final SoldOutOfferings soldOutOfferings;
   private final WriteBudgetLending lending;
   private final PeerCodec codec;
 
@@ -53,7 +53,7 @@
       LocalCancellation localCancellation,
       WorkerReachability workerReachability,
       TransferRequests transferRequests,
-      ScaleOutRequests scaleOutRequests,
+      SoldOutOfferings soldOutOfferings,
       WriteBudgetLending lending,
       PeerCodec codec) {
     this.membership = membership;
@@ -63,7 +63,7 @@
     this.localCancellation = localCancellation;
     this.workerReachability = workerReachability;
     this.transferRequests = transferRequests;
-    this.scaleOutRequests = scaleOutRequests;
+    this.soldOutOfferings = soldOutOfferings;
     this.lending = lending;
     this.codec = codec;
   }
@@ -135,7 +135,7 @@
   private void markSoldOut(String subject) {
     String[] offeringFields = subject.split(" ", 3);
     if (offeringFields.length == 3) {
-      scaleOutRequests.markSoldOut(
+      soldOutOfferings.mark(
           new MachineOffering(
               offeringFields[0], offeringFields[1], Boolean.parseBoolean(offeringFields[2])));
     }
--- a/src/main/java/io/violetrail/peer/ResourceRequest.java
+++ b/src/main/java/io/violetrail/peer/ResourceRequest.java
@@ -118,6 +118,11 @@
         worth, starving, mayEvict, donor);
   }
 
+  /** Returns whether machines of the zone are requested. */
+  public boolean allowsZone(String machineZone) {
+    return zone.isEmpty() || zone.equals(machineZone);
+  }
+
   /** Returns the requested part of a quota, or what each task takes of its machine. */
   public Resources requestedAmounts() {
     Resources amounts = new Resources(cpus, gpus, memoryGb);
@@ -133,7 +138,7 @@
    */
   public boolean allowsMachine(String machineType, String machineZone, boolean machineIsSpot) {
     return (types.isEmpty() || allowedTypes().contains(machineType))
-        && (zone.isEmpty() || zone.equals(machineZone))
+        && allowsZone(machineZone)
         && (spot || !machineIsSpot);
   }
 }
--- a/src/main/java/io/violetrail/scheduling/BinPacker.java
+++ b/src/main/java/io/violetrail/scheduling/BinPacker.java
@@ -29,39 +29,40 @@
    */
   private static final double LIGHT_UTILIZATION = 0.5;
 
-  private final RecentAcceleratorDemand acceleratorDemand = new RecentAcceleratorDemand();
   private final PlacementConstraints constraints;
   private final MachineScorer scorer;
   private final Random random;
   private final int sampleSize;
+  private final MachineTypes machineTypes;
   private double passStartedAtSeconds;
   private Prices prices;
   private long examinedCount;
 
   /**
-   * Creates a bin packer with no recorded accelerator demand.
+   * Creates a bin packer.
    *
+   * @param constraints decides on which machines a task may be placed
    * @param random selects the machines that are compared
    * @param sampleSize the maximum number of machines that are compared for a task
    */
   public BinPacker(
+      PlacementConstraints constraints,
       ServiceLevelObjectives objectives,
-      RuntimeEstimates runtimeEstimates,
+      MachineTypes machineTypes,
       Random random,
       int sampleSize) {
-    this.constraints = new PlacementConstraints(objectives, runtimeEstimates, acceleratorDemand);
+    this.constraints = constraints;
     this.scorer = new MachineScorer(objectives);
+    this.machineTypes = machineTypes;
     this.random = random;
     this.sampleSize = sampleSize;
   }
 
-  /**
-   * Sets the time, the machine types and the pending jobs on which the next decisions are based.
-   */
-  void beginPass(double nowSeconds, MachineTypes machineTypes, List<Job> pendingJobs) {
+  /** Sets the time and the pending jobs on which the next decisions are based. */
+  void beginPass(double nowSeconds, List<Job> pendingJobs) {
     passStartedAtSeconds = nowSeconds;
     prices = machineTypes.prices();
-    constraints.beginPass(machineTypes, pendingJobs);
+    constraints.beginPass(pendingJobs);
   }
 
   /** Returns how many machines were examined so far, a measure of the cost of placement. */
@@ -69,25 +70,15 @@
     return examinedCount;
   }
 
-  /** Records a pending job. If it needs accelerators, CPU-only tasks leave room for its class. */
-  void recordDemand(JobSpec job, double nowSeconds) {
-    acceleratorDemand.record(job, nowSeconds);
-  }
-
-  /** Returns whether a job that needs accelerators was pending in the last ten minutes. */
-  public boolean hasRecentAcceleratorDemand(double nowSeconds) {
-    return acceleratorDemand.hasRecentDemand(nowSeconds);
-  }
-
   /** Returns those of the machines on which the next task of the job may start now. */
   List<Machine> findFittingMachines(
       Job job,
       Collection<Machine> schedulableMachines,
-      Map<String, Integer> placedCountByZone,
+      ZoneAllowance allowance,
       double nowSeconds) {
     List<Machine> fittingMachines = new ArrayList<>();
     for (Machine machine : schedulableMachines) {
-      if (fits(job, machine, placedCountByZone, nowSeconds)) {
+      if (fits(job, machine, allowance, nowSeconds)) {
         fittingMachines.add(machine);
       }
     }
@@ -95,15 +86,9 @@
   }
 
   /** Returns whether a task of the job may start on the machine now. */
-  boolean fits(
-      Job job, Machine machine, Map<String, Integer> placedCountByZone, double nowSeconds) {
+  boolean fits(Job job, Machine machine, ZoneAllowance allowance, double nowSeconds) {
     examinedCount++;
-    return constraints.fits(job, machine, placedCountByZone, nowSeconds);
-  }
-
-  /** Returns whether a task of the job could start on the machine if it had enough free room. */
-  boolean isSuitable(Job job, Machine machine, double nowSeconds) {
-    return constraints.isSuitable(job, machine, nowSeconds);
+    return constraints.fits(job, machine, allowance, nowSeconds);
   }
 
   /**
@@ -120,13 +105,19 @@
     }
     int slotCount = 0;
     int unplacedCount = job.unplacedCount();
-    Map<String, Integer> placedCountByZone = PlacementConstraints.countPlacedByZone(job);
+    ZoneAllowance allowance = ZoneAllowance.of(job);
     for (Machine other : machines) {
       if (other != machine
           && other.isSchedulable()
           && other.utilization() > utilization
-          && fits(job, other, placedCountByZone, nowSeconds)) {
-        slotCount += other.freeCapacity().countFitting(job.spec().taskResources());
+          && fits(job, other, allowance, nowSeconds)) {
+        String zone = other.row().zone();
+        int slots =
+            Math.min(
+                other.freeCapacity().countFitting(job.spec().taskResources()),
+                allowance.remaining(zone));
+        allowance.add(zone, slots);
+        slotCount += slots;
         if (slotCount >= unplacedCount) {
           return true;
         }
@@ -165,7 +156,7 @@
   Optional<List<Machine>> planGang(
       Job job, Collection<Machine> schedulableMachines, double nowSeconds) {
     List<Machine> fittingMachines =
-        findFittingMachines(job, schedulableMachines, Map.of(), nowSeconds);
+        findFittingMachines(job, schedulableMachines, ZoneAllowance.of(job), nowSeconds);
     return job.spec().singleZone()
         ? findTightestZone(job, fittingMachines).flatMap(zone -> planTasks(job, zone))
         : planTasks(job, fittingMachines);
@@ -202,7 +193,7 @@
       return Optional.empty();
     }
     List<Machine> chosenMachines = new ArrayList<>();
-    Map<String, Integer> plannedCountByZone = new HashMap<>();
+    ZoneAllowance allowance = ZoneAllowance.of(job);
     Map<Machine, Integer> plannedCountByMachine = new HashMap<>();
     while (chosenMachines.size() < spec.taskCount()) {
       Machine machine = chooseBest(job, fittingMachines).orElse(null);
@@ -210,17 +201,14 @@
         return Optional.empty();
       }
       int plannedCount = plannedCountByMachine.getOrDefault(machine, 0);
-      boolean zoneFull =
-          spec.spreadAcrossZones()
-              && plannedCountByZone.getOrDefault(machine.row().zone(), 0) >= spec.maxTasksPerZone();
-      if (zoneFull
+      if (!allowance.allows(machine.row().zone())
           || !spec.taskResources().times(plannedCount + 1).fitsIn(machine.freeCapacity())) {
         fittingMachines.remove(machine);
         continue;
       }
       chosenMachines.add(machine);
       plannedCountByMachine.put(machine, plannedCount + 1);
-      plannedCountByZone.merge(machine.row().zone(), 1, Integer::sum);
+      allowance.add(machine.row().zone(), 1);
     }
     return Optional.of(chosenMachines);
   }
--- a/src/main/java/io/violetrail/scheduling/PendingAcceleratorJobs.java
+++ b/src/main/java/io/violetrail/scheduling/PendingAcceleratorJobs.java
@@ -31,8 +31,7 @@
 
   /** Returns whether one of the jobs may start tasks now and could use a machine like this one. */
   boolean mayUse(Machine machine, double nowSeconds) {
-    MachineOffering offering =
-        new MachineOffering(machine.row().type(), machine.row().zone(), machine.row().spot());
+    MachineOffering offering = MachineOffering.of(machine);
     return usableByOffering.computeIfAbsent(offering, k -> isUsable(machine, nowSeconds));
   }
 
@@ -40,6 +39,7 @@
     for (Job job : jobs) {
       if (job.startableCount(nowSeconds) > 0
           && machine.isAllowedFor(job.spec())
+          && ZoneAllowance.of(job).allows(machine.row().zone())
           && job.spec().taskResources().fitsIn(machine.type().capacity())) {
         return true;
       }
--- a/src/main/java/io/violetrail/scheduling/PlacementConstraints.java
+++ b/src/main/java/io/violetrail/scheduling/PlacementConstraints.java
@@ -7,98 +7,126 @@
 import io.violetrail.model.JobSpec;
 import io.violetrail.model.Resources;
 import java.util.List;
-import java.util.Map;
 
 /**
- * Decides whether a task of a job may be placed on a machine. It checks the free room,
- * reservations, the job's constraints on types, zones and spot machines, the room to be left for
- * accelerator jobs, and the price.
+ * Decides where the next task of a job may run. Two questions are answered here for every caller:
  *
- * <p>Part of {@link BinPacker}, used on the event loop's thread. Its state is lost with the
- * process.
+ * <ul>
+ *   <li>{@link #mayUse}: could the task run on this machine if there were room? It checks the job's
+ *       constraints on types, zones and spot machines, given its other tasks ({@link
+ *       ZoneAllowance}), its failures there, reservations and the price. Preemption, scale-out and
+ *       transfers of machines between entities ask this.
+ *   <li>{@link #fits}: may the task start there now? It checks the free room too, and what is to be
+ *       left for accelerator jobs. Placement asks this.
+ * </ul>
+ *
+ * <p>Since {@code fits} implies {@code mayUse}, nobody counts on room that placement refuses; a job
+ * for which one part counts such room and another does not is left waiting.
+ *
+ * <p>Used on the event loop's thread, between {@link #beginPass} and the end of the pass. Its state
+ * is lost with the process.
  */
-final class PlacementConstraints {
+public final class PlacementConstraints {
   private final ServiceLevelObjectives objectives;
   private final RuntimeEstimates runtimeEstimates;
-  private final RecentAcceleratorDemand acceleratorDemand;
+  private final MachineTypes machineTypes;
+  private final RecentAcceleratorDemand acceleratorDemand = new RecentAcceleratorDemand();
   private final PendingAcceleratorJobs pendingAcceleratorJobs = new PendingAcceleratorJobs();
   private Prices prices;
   private AcceleratorPolicy acceleratorPolicy;
 
-  PlacementConstraints(
+  /** Creates constraints with no recorded accelerator demand. */
+  public PlacementConstraints(
       ServiceLevelObjectives objectives,
       RuntimeEstimates runtimeEstimates,
-      RecentAcceleratorDemand acceleratorDemand) {
+      MachineTypes machineTypes) {
     this.objectives = objectives;
     this.runtimeEstimates = runtimeEstimates;
-    this.acceleratorDemand = acceleratorDemand;
+    this.machineTypes = machineTypes;
+    beginPass(List.of());
   }
 
-  /** Sets the machine types and the pending jobs on which the next decisions are based. */
-  void beginPass(MachineTypes machineTypes, List<Job> pendingJobs) {
+  /** Sets the pending jobs on which the next decisions are based, and reads the machine types. */
+  public void beginPass(List<Job> pendingJobs) {
     prices = machineTypes.prices();
     acceleratorPolicy = machineTypes.acceleratorPolicy();
     pendingAcceleratorJobs.replaceAll(pendingJobs);
   }
 
-  /** Returns whether a task of the job may start on the machine now. */
-  boolean fits(
-      Job job, Machine machine, Map<String, Integer> placedCountByZone, double nowSeconds) {
+  /** Records a pending job. If it needs accelerators, CPU-only tasks leave room for its class. */
+  void recordDemand(JobSpec job, double nowSeconds) {
+    acceleratorDemand.record(job, nowSeconds);
+  }
+
+  /** Returns whether a job that needs accelerators was pending in the last ten minutes. */
+  public boolean hasRecentAcceleratorDemand(double nowSeconds) {
+    return acceleratorDemand.hasRecentDemand(nowSeconds);
+  }
+
+  /**
+   * Returns whether the job's next task may start on the machine now.
+   *
+   * @param allowance the zones in which it may start
+   */
+  boolean fits(Job job, Machine machine, ZoneAllowance allowance, double nowSeconds) {
     return job.spec().taskResources().fitsIn(machine.freeCapacity())
-        && (machine.reservedForJob() == null
-            || machine.reservedForJob() == job
-            || nowSeconds > machine.reservedUntilSeconds())
-        && nowSeconds > machine.reservedForTransferUntilSeconds()
         && !(job.bestEffort() && nowSeconds < machine.bestEffortBarredUntilSeconds())
-        && isAllowed(job, machine, placedCountByZone)
-        && keepsAcceleratorReserve(job, machine, nowSeconds)
-        && isAffordable(job, machine, nowSeconds);
+        && isAllowed(job, machine, allowance)
+        && !isReservedForOthers(job, machine, nowSeconds)
+        && keepsAcceleratorReserve(job, machine, allowance, nowSeconds)
+        && isAffordable(job, machine, allowance, nowSeconds);
   }
 
-  /** Returns whether a task of the job could start on the machine if it had enough free room. */
-  boolean isSuitable(Job job, Machine machine, double nowSeconds) {
-    return acceleratorPolicy.suits(job.spec(), machine.type())
-        && isAllowed(job, machine, countPlacedByZone(job))
-        && isAffordable(job, machine, nowSeconds);
+  /**
+   * Returns whether the job's next task could run on the machine if there were room. The room
+   * itself, and whether the machine is in service, are left to the caller.
+   *
+   * @param allowance the zones in which the task may start
+   */
+  public boolean mayUse(Job job, Machine machine, ZoneAllowance allowance, double nowSeconds) {
+    return isAllowed(job, machine, allowance)
+        && !isReservedForOthers(job, machine, nowSeconds)
+        && isAffordable(job, machine, allowance, nowSeconds);
+  }
+
+  /**
+   * Returns whether the machine is worth making room on for the job's next task: the task could run
+   * there, and the machine suits it as far as accelerators are concerned.
+   */
+  public boolean isSuitable(Job job, Machine machine, ZoneAllowance allowance, double nowSeconds) {
+    return acceleratorPolicy.suits(job.spec(), allowance::allows, machine.type())
+        && mayUse(job, machine, allowance, nowSeconds);
   }
 
   /**
    * Returns whether the job's constraints on types, zones and spot machines allow the machine, and
    * the job does not avoid it because of failures there.
    */
-  static boolean isAllowed(Job job, Machine machine, Map<String, Integer> placedCountByZone) {
-    JobSpec spec = job.spec();
-    String zone = machine.row().zone();
-    if (!spec.allowsMachine(machine.row().type(), zone, machine.row().spot())
-        || job.failureHistory().avoidsMachine(machine.id())) {
-      return false;
-    }
-    if (spec.singleZone()
-        && !placedCountByZone.isEmpty()
-        && !(placedCountByZone.size() == 1 && placedCountByZone.containsKey(zone))) {
-      return false;
-    }
-    return !spec.spreadAcrossZones()
-        || placedCountByZone.getOrDefault(zone, 0) < spec.maxTasksPerZone();
+  private static boolean isAllowed(Job job, Machine machine, ZoneAllowance allowance) {
+    return machine.isAllowedFor(job.spec())
+        && allowance.allows(machine.row().zone())
+        && !job.failureHistory().avoidsMachine(machine.id());
   }
 
   /**
-   * Returns how many of the job's placed tasks are in each zone; empty if the job has no
-   * constraints that depend on this.
+   * Returns whether the machine's room is kept for a more urgent job, or for a transfer to another
+   * entity.
    */
-  static Map<String, Integer> countPlacedByZone(Job job) {
-    if (!job.spec().singleZone() && !job.spec().spreadAcrossZones()) {
-      return Map.of();
-    }
-    return job.placedCountByZone();
+  private static boolean isReservedForOthers(Job job, Machine machine, double nowSeconds) {
+    boolean reservedForOtherJob =
+        machine.reservedForJob() != null
+            && machine.reservedForJob() != job
+            && nowSeconds <= machine.reservedUntilSeconds();
+    return reservedForOtherJob || nowSeconds <= machine.reservedForTransferUntilSeconds();
   }
 
   /**
    * Returns whether the task leaves enough room for accelerator jobs. A CPU-only task may use only
    * the resources of an accelerator machine that recent accelerator jobs could not use.
    */
-  private boolean keepsAcceleratorReserve(Job job, Machine machine, double nowSeconds) {
-    if (acceleratorPolicy.suits(job.spec(), machine.type())
+  private boolean keepsAcceleratorReserve(
+      Job job, Machine machine, ZoneAllowance allowance, double nowSeconds) {
+    if (acceleratorPolicy.suits(job.spec(), allowance::allows, machine.type())
         || mayUseAcceleratorReserve(job, machine, nowSeconds)) {
       return true;
     }
@@ -121,7 +149,8 @@
    * Returns whether the job is worth the price of the machine. Without this check, tasks that could
    * run on a cheap machine would keep an expensive one from scale-in.
    */
-  private boolean isAffordable(Job job, Machine machine, double nowSeconds) {
+  private boolean isAffordable(
+      Job job, Machine machine, ZoneAllowance allowance, double nowSeconds) {
     if (job.mayUseAnyRoom(nowSeconds)) {
       return true;
     }
@@ -136,7 +165,7 @@
     // without another use. So neither best effort nor a high price ratio admits such tasks there,
     // as long as they do not wait for too long.
     boolean usesAcceleratorMachineCpus =
-        !acceleratorPolicy.suits(job.spec(), machine.type())
+        !acceleratorPolicy.suits(job.spec(), allowance::allows, machine.type())
             && acceleratorDemand.hasRecentDemand(nowSeconds)
             && !mayUseAcceleratorReserve(job, machine, nowSeconds);
     if (!usesAcceleratorMachineCpus && job.bestEffort()) {
@@ -146,7 +175,12 @@
     }
     if (!usesAcceleratorMachineCpus
         && prices.isWorthwhile(
-            job.spec(), machine.type(), machine.row().spot(), sharingTaskCount, maxPriceRatio)) {
+            job.spec(),
+            allowance::allows,
+            machine.type(),
+            machine.row().spot(),
+            sharingTaskCount,
+            maxPriceRatio)) {
       return true;
     }
     return isHeldByMoreAccelerators(job, machine);
--- a/src/main/java/io/violetrail/scheduling/Preemption.java
+++ b/src/main/java/io/violetrail/scheduling/Preemption.java
@@ -1,9 +1,7 @@
 package io.violetrail.scheduling;
 
 import io.violetrail.evidence.TerminationEvidence;
-import io.violetrail.fleet.AcceleratorPolicy;
 import io.violetrail.fleet.Machine;
-import io.violetrail.fleet.MachineTypes;
 import io.violetrail.model.JobShape;
 import io.violetrail.model.Resources;
 import io.violetrail.ownership.OwnedEntity;
@@ -40,17 +38,17 @@
   /** The number of cores to which one accelerator is equivalent when lost work is computed. */
   private static final double CPUS_PER_GPU = 8;
 
-  private final MachineTypes machineTypes;
+  private final PlacementConstraints constraints;
   private final Consumer<TaskPlacement> onStopRequested;
 
   /**
    * Creates a preemption.
    *
-   * @param machineTypes the types that the provider offers
+   * @param constraints decides on which machines room may be made for a job
    * @param onStopRequested called with each placement whose stop is requested
    */
-  public Preemption(MachineTypes machineTypes, Consumer<TaskPlacement> onStopRequested) {
-    this.machineTypes = machineTypes;
+  public Preemption(PlacementConstraints constraints, Consumer<TaskPlacement> onStopRequested) {
+    this.constraints = constraints;
     this.onStopRequested = onStopRequested;
   }
 
@@ -65,8 +63,10 @@
    * be placed. For a gang, room is made for all of its tasks or not at all, since gangs that each
    * reserve a part of the room would all wait for each other. For other jobs, room is made for one
    * task.
+   *
+   * @param allowance the zones in which the job's next tasks may start
    */
-  void preemptFor(OwnedEntity entity, Job job, double nowSeconds) {
+  void preemptFor(OwnedEntity entity, Job job, ZoneAllowance allowance, double nowSeconds) {
     if (!job.mayPreempt(nowSeconds)
         || !entity.hasPlacedTaskOfLowerPriority(job.spec().priority())) {
       return;
@@ -75,11 +75,10 @@
     if (hasReservation(entity, job, nowSeconds)) {
       return;
     }
-    AcceleratorPolicy acceleratorPolicy = machineTypes.acceleratorPolicy();
     Map<String, List<PreemptionCandidate>> candidatesByZone = new HashMap<>();
     for (Machine machine : entity.machines().values()) {
       PreemptionCandidate candidate =
-          acceleratorPolicy.suits(job.spec(), machine.type())
+          constraints.isSuitable(job, machine, allowance, nowSeconds)
               ? findCandidate(job, machine, nowSeconds)
               : null;
       if (candidate != null) {
@@ -91,7 +90,8 @@
     List<PreemptionCandidate> bestCandidates = List.of();
     double bestLostCpuSeconds = Double.POSITIVE_INFINITY;
     for (List<PreemptionCandidate> zoneCandidates : candidatesByZone.values()) {
-      List<PreemptionCandidate> cheapest = selectCheapest(zoneCandidates, neededTaskCount);
+      List<PreemptionCandidate> cheapest =
+          selectCheapest(zoneCandidates, neededTaskCount, allowance.copy());
       double lostCpuSeconds = 0;
       for (PreemptionCandidate chosen : cheapest) {
         lostCpuSeconds += chosen.lostCpuSeconds();
@@ -118,9 +118,11 @@
   /**
    * Selects candidates in the order of lost work per task until they have room for {@code
    * neededTaskCount} tasks. Returns an empty list if all candidates together have too little room.
+   *
+   * @param allowance the zones in which the job's next tasks may start; the chosen ones are added
    */
   private static List<PreemptionCandidate> selectCheapest(
-      List<PreemptionCandidate> candidates, int neededTaskCount) {
+      List<PreemptionCandidate> candidates, int neededTaskCount, ZoneAllowance allowance) {
     candidates.sort(
         Comparator.comparingDouble(
             candidate -> candidate.lostCpuSeconds() / candidate.taskCount()));
@@ -130,8 +132,13 @@
       if (coveredTaskCount >= neededTaskCount) {
         break;
       }
-      chosen.add(candidate);
-      coveredTaskCount += candidate.taskCount();
+      String zone = candidate.machine().row().zone();
+      int usableTaskCount = Math.min(candidate.taskCount(), allowance.remaining(zone));
+      if (usableTaskCount > 0) {
+        chosen.add(candidate);
+        allowance.add(zone, usableTaskCount);
+        coveredTaskCount += usableTaskCount;
+      }
     }
     return coveredTaskCount >= neededTaskCount ? chosen : List.of();
   }
@@ -190,10 +197,7 @@
     Resources taskResources = job.spec().taskResources();
     boolean reserved =
         machine.reservedForJob() != null && nowSeconds <= machine.reservedUntilSeconds();
-    if (reserved
-        || !machine.isSchedulable()
-        || !taskResources.fitsIn(machine.type().capacity())
-        || !PlacementConstraints.isAllowed(job, machine, Map.of())) {
+    if (reserved || !machine.isSchedulable() || !taskResources.fitsIn(machine.type().capacity())) {
       return null;
     }
     // The time to fetch the image counts as lost work.
--- a/src/main/java/io/violetrail/scheduling/TaskScheduler.java
+++ b/src/main/java/io/violetrail/scheduling/TaskScheduler.java
@@ -2,7 +2,6 @@
 
 import io.violetrail.configuration.Configuration;
 import io.violetrail.fleet.Machine;
-import io.violetrail.fleet.MachineTypes;
 import io.violetrail.fleet.QuotaTransfer;
 import io.violetrail.fleet.TransferRequests;
 import io.violetrail.model.MachineId;
@@ -67,7 +66,8 @@
   private final EventLoop loop;
   private final Membership membership;
   private final Configuration configuration;
-  private final MachineTypes machineTypes;
+  private final PlacementConstraints constraints;
+  private final SingleZonePlanner singleZonePlanner;
   private final PendingQueues pendingQueues;
   private final BinPacker binPacker;
   private final Preemption preemption;
@@ -90,7 +90,8 @@
       EventLoop loop,
       Membership membership,
       Configuration configuration,
-      MachineTypes machineTypes,
+      PlacementConstraints constraints,
+      SingleZonePlanner singleZonePlanner,
       PendingQueues pendingQueues,
       BinPacker binPacker,
       Preemption preemption,
@@ -101,7 +102,8 @@
     this.loop = loop;
     this.membership = membership;
     this.configuration = configuration;
-    this.machineTypes = machineTypes;
+    this.constraints = constraints;
+    this.singleZonePlanner = singleZonePlanner;
     this.pendingQueues = pendingQueues;
     this.binPacker = binPacker;
     this.preemption = preemption;
@@ -142,12 +144,12 @@
       return;
     }
     double nowSeconds = loop.monotonicSeconds();
-    binPacker.beginPass(nowSeconds, machineTypes, pendingJobs);
+    binPacker.beginPass(nowSeconds, pendingJobs);
     List<Machine> schedulableMachines = findMachinesWithRoom(entity);
     boolean awaitingFirstReports = entity.hasUncertainMachine(nowSeconds);
     Map<String, Resources> remainingQuotaByTeam = new HashMap<>();
     for (Job job : pendingJobs) {
-      binPacker.recordDemand(job.spec(), nowSeconds);
+      constraints.recordDemand(job.spec(), nowSeconds);
       if (!isStartable(entity, job, awaitingFirstReports, nowSeconds)) {
         continue;
       }
@@ -189,7 +191,7 @@
       return;
     }
     List<Job> pendingJobs = pendingQueues.orderedJobs(entity);
-    binPacker.beginPass(nowSeconds, machineTypes, pendingJobs);
+    binPacker.beginPass(nowSeconds, pendingJobs);
     boolean awaitingFirstReports = entity.hasUncertainMachine(nowSeconds);
     remainingPlacements = MAX_PLACEMENTS_AT_ONCE;
     int gangAttemptCount = 0;
@@ -197,8 +199,7 @@
     Map<String, Resources> remainingQuotaByTeam = new HashMap<>();
     for (Job job : pendingJobs) {
       if (!isStartable(entity, job, awaitingFirstReports, nowSeconds)
-          || !binPacker.fits(
-              job, machine, PlacementConstraints.countPlacedByZone(job), nowSeconds)) {
+          || !binPacker.fits(job, machine, ZoneAllowance.of(job), nowSeconds)) {
         continue;
       }
       Resources quota =
@@ -256,8 +257,7 @@
       Resources quota,
       double nowSeconds) {
     Resources taskResources = job.spec().taskResources();
-    Map<String, Integer> placedCountByZone = PlacementConstraints.countPlacedByZone(job);
-    boolean zonesMatter = job.spec().singleZone() || job.spec().spreadAcrossZones();
+    ZoneAllowance allowance = singleZonePlanner.allowanceFor(entity, job, nowSeconds);
     int startableCount =
         Math.min(
             Math.min(remainingPlacements, quota.countFitting(taskResources)),
@@ -273,14 +273,15 @@
       }
       if (fittingMachines == null) {
         fittingMachines =
-            binPacker.findFittingMachines(job, schedulableMachines, placedCountByZone, nowSeconds);
+            binPacker.findFittingMachines(job, schedulableMachines, allowance, nowSeconds);
       }
       // Each chosen machine is filled before the next one, since the tasks share the cached image.
-      while (machine == null || !binPacker.fits(job, machine, placedCountByZone, nowSeconds)) {
+      while (machine == null || !binPacker.fits(job, machine, allowance, nowSeconds)) {
         fittingMachines.remove(machine);
         machine = binPacker.chooseBest(job, fittingMachines).orElse(null);
         if (machine == null) {
-          preemptUnlessSuspect(entity, job, nowSeconds);
+          singleZonePlanner.moveIfNeeded(entity, job, nowSeconds);
+          preemptUnlessSuspect(entity, job, allowance, nowSeconds);
           return taskResources.times(placedCount);
         }
       }
@@ -290,9 +291,7 @@
       recordNewPlacement(machine);
       remainingPlacements--;
       placedCount++;
-      if (zonesMatter) {
-        placedCountByZone.merge(machine.row().zone(), 1, Integer::sum);
-      }
+      allowance.add(machine.row().zone(), 1);
     }
     return taskResources.times(placedCount);
   }
@@ -302,11 +301,12 @@
    * preempted for a job that fails on every machine. For a job that is not a gang, best-effort
    * tasks are preempted first, and other tasks only if no best-effort task could be.
    */
-  private void preemptUnlessSuspect(OwnedEntity entity, Job job, double nowSeconds) {
+  private void preemptUnlessSuspect(
+      OwnedEntity entity, Job job, ZoneAllowance allowance, double nowSeconds) {
     if (!job.isSuspect()
         && !(BinPacker.startsTasksIndividually(job)
-            && preemptBestEffortFor(entity, job, nowSeconds))) {
-      preemption.preemptFor(entity, job, nowSeconds);
+            && preemptBestEffortFor(entity, job, allowance.copy(), nowSeconds))) {
+      preemption.preemptFor(entity, job, allowance, nowSeconds);
     }
   }
 
@@ -315,9 +315,11 @@
    * {@link Preemption#preemptFor} makes room for at most one task a second, which would be too
    * slow, and best-effort tasks may always be preempted.
    *
+   * @param allowance the zones in which the job's next tasks may start; planned ones are added
    * @return whether best-effort tasks were evicted from at least one machine
    */
-  private boolean preemptBestEffortFor(OwnedEntity entity, Job job, double nowSeconds) {
+  private boolean preemptBestEffortFor(
+      OwnedEntity entity, Job job, ZoneAllowance allowance, double nowSeconds) {
     if (job.bestEffort() || !entity.hasPlacedTaskOfLowerPriority(job.spec().priority())) {
       return false;
     }
@@ -331,8 +333,11 @@
       if (missingCount > 0
           && additionalCount > 0
           && machine.isSchedulable()
-          && binPacker.isSuitable(job, machine, nowSeconds)) {
-        missingCount -= additionalCount;
+          && constraints.isSuitable(job, machine, allowance, nowSeconds)) {
+        String zone = machine.row().zone();
+        int usableCount = Math.min(additionalCount, allowance.remaining(zone));
+        allowance.add(zone, usableCount);
+        missingCount -= usableCount;
         preempted = true;
         drainer.evictBestEffortTasks(entity, machine);
       }
@@ -359,7 +364,7 @@
     }
     Optional<List<Machine>> plan = binPacker.planGang(job, schedulableMachines, nowSeconds);
     if (plan.isEmpty()) {
-      preemptUnlessSuspect(entity, job, nowSeconds);
+      preemptUnlessSuspect(entity, job, ZoneAllowance.of(job), nowSeconds);
       return Resources.NONE;
     }
     List<Machine> chosenMachines = plan.get();
--- a/src/test/java/io/violetrail/compatibility/RecordedRun.java
+++ b/src/test/java/io/violetrail/compatibility/RecordedRun.java
@@ -16,7 +16,7 @@
 
 /**
  * A short run of a simulated deployment in which every kind of row is written. It is deterministic,
- * and {@code stored-rows.txt} holds the rows that an earlier release wrote in it.
+ * and {@code rows-of-recorded-run.txt} holds the rows that are written in it.
  */
 final class RecordedRun {
   private static final double STEP_SECONDS = 0.05;
--- a/src/test/java/io/violetrail/compatibility/StoredRowsCompatibilityTest.java
+++ b/src/test/java/io/violetrail/compatibility/StoredRowsCompatibilityTest.java
@@ -27,11 +27,11 @@
 
 /**
  * Rows of the state service as an earlier release wrote them, kept as text. The current release
- * must write the same rows in the same run, and its controllers must read the recorded ones
- * correctly.
+ * must read them correctly, and must write rows of the same forms.
  *
- * <p>A change of scheduling decisions (which machine, how many) changes the run. The rows may then
- * be recorded anew, by a program that writes rows in the recorded format.
+ * <p>The rows of {@link RecordedRun} are recorded too, and the same run must write the same rows. A
+ * change of scheduling decisions (which machine, how many) changes the run. Its rows may then be
+ * recorded anew, as long as their forms are those of the earlier release.
  */
 class StoredRowsCompatibilityTest {
   private static final long REVISION = 7;
@@ -60,11 +60,20 @@
   void sameRunWritesTheRecordedRows() {
     Map<String, String> written = new TreeMap<>();
     RecordedRun.rows().forEach((key, value) -> written.put(key, value.toString()));
-    Map<String, String> expected = new TreeMap<>(Recording.lines("stored-rows.txt"));
+    Map<String, String> expected = new TreeMap<>(Recording.lines("rows-of-recorded-run.txt"));
     assertEquals(expected.keySet(), written.keySet());
     expected.forEach((key, text) -> assertEquals(text, written.get(key), key));
   }
 
+  @Test
+  void recordedRunHasTheFormsOfTheEarlierRelease() {
+    // Guards against a new recording of the run that hides a change of the stored format.
+    Map<String, JsonNode> run = new TreeMap<>();
+    Recording.lines("rows-of-recorded-run.txt")
+        .forEach((key, text) -> run.put(key, parseJson(text)));
+    assertEquals(RowForms.byKind(RECORDED), RowForms.byKind(run));
+  }
+
   @Test
   void everyKindOfRowIsRecorded() {
     for (String kind :
--- a/src/test/java/io/violetrail/fakes/FakeCloud.java
+++ b/src/test/java/io/violetrail/fakes/FakeCloud.java
@@ -1,6 +1,7 @@
 package io.violetrail.fakes;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.violetrail.fleet.MachineOffering;
 import io.violetrail.model.MachineType;
 import io.violetrail.model.Resources;
 import io.violetrail.net.RequestHandler;
@@ -30,6 +31,9 @@
   /** Machine types of which no machine can be rented. */
   private final Set<String> soldOutTypes = new HashSet<>();
 
+  /** How many machines of an offering may exist at a time; without an entry, any number. */
+  private final Map<MachineOffering, Integer> machineLimits = new HashMap<>();
+
   /** Boot time by machine number; a machine with a negative time never comes up. */
   private IntToDoubleFunction bootSeconds = machineNumber -> 3;
 
@@ -83,6 +87,24 @@
     return soldOutTypes;
   }
 
+  public Map<MachineOffering, Integer> machineLimits() {
+    return machineLimits;
+  }
+
+  /** Lets no more machines be rented in the zone. */
+  public void sellOutZone(String zone) {
+    for (MachineType type : machineTypes) {
+      machineLimits.put(new MachineOffering(type.name(), zone, false), 0);
+      machineLimits.put(new MachineOffering(type.name(), zone, true), 0);
+    }
+  }
+
+  /** Ends a machine at once and without notice, as the provider does with spot machines. */
+  public void takeBack(FakeWorker worker) {
+    workers.remove(worker.id());
+    worker.destroy();
+  }
+
   public void setBootSeconds(IntToDoubleFunction bootSeconds) {
     this.bootSeconds = bootSeconds;
   }
@@ -192,8 +214,22 @@
     return reply;
   }
 
+  /** Returns whether one more machine of the offering could be rented now. */
+  boolean isRentable(MachineOffering offering) {
+    long existingCount =
+        workers.values().stream().filter(worker -> worker.offering().equals(offering)).count();
+    return !unavailable
+        && workers.size() < capacity
+        && !soldOutTypes.contains(offering.type())
+        && existingCount < machineLimits.getOrDefault(offering, Integer.MAX_VALUE);
+  }
+
   private boolean hasCapacity(ObjectNode request) {
-    return workers.size() < capacity && !soldOutTypes.contains(request.get("hosttype").asText());
+    return isRentable(
+        new MachineOffering(
+            request.get("hosttype").asText(),
+            request.get("yard").asText(),
+            request.get("loaners").asBoolean()));
   }
 
   /** Checks that a request under a known name is a repetition: names must never be reused. */
--- a/src/test/java/io/violetrail/fakes/FakeWorker.java
+++ b/src/test/java/io/violetrail/fakes/FakeWorker.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.violetrail.config.Settings.HostPort;
+import io.violetrail.fleet.MachineOffering;
 import io.violetrail.model.Resources;
 import io.violetrail.net.HttpClient;
 import io.violetrail.net.RequestHandler;
@@ -323,6 +324,11 @@
     return zone;
   }
 
+  /** Returns what this machine was rented as. */
+  MachineOffering offering() {
+    return new MachineOffering(type, zone, spot);
+  }
+
   /** Returns whether this is a spot machine, which the cloud may reclaim. */
   public boolean isSpot() {
     return spot;
--- a/src/test/java/io/violetrail/fakes/InvariantChecker.java
+++ b/src/test/java/io/violetrail/fakes/InvariantChecker.java
@@ -68,6 +68,11 @@
     liveness.faultsEnded();
   }
 
+  /** Lets {@link #faultsEnded} also check that no job waits beside machines that can be rented. */
+  public void countRentableMachines() {
+    liveness.countRentableMachines();
+  }
+
   private void check() {
     cancelledAtSeconds.forEach(
         (job, confirmedAtSeconds) -> {
@@ -89,6 +94,16 @@
     return runningTasks.workersOf(job);
   }
 
+  /** Returns how many of the job's tasks are on machines, by zone, after expiring due leases. */
+  Map<String, Integer> taskCountByZone(String job) {
+    Map<String, Integer> taskCounts = new HashMap<>();
+    workersWithValidLease(job);
+    for (Collection<FakeWorker> holders : runningTasks.workersByTask(job).values()) {
+      holders.forEach(holder -> taskCounts.merge(holder.zone(), 1, Integer::sum));
+    }
+    return taskCounts;
+  }
+
   /** Records that a task occupies a worker from now on. */
   void taskArrived(FakeWorker worker, String task) {
     runningTasks.taskArrived(worker, task);
--- a/src/test/java/io/violetrail/fakes/LivenessChecker.java
+++ b/src/test/java/io/violetrail/fakes/LivenessChecker.java
@@ -1,6 +1,5 @@
 package io.violetrail.fakes;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.violetrail.config.Settings.Team;
 import io.violetrail.model.MachineType;
@@ -9,7 +8,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.Predicate;
 
 /** Checks liveness: status requests are answered, and jobs that could run do not wait. */
 final class LivenessChecker {
@@ -47,11 +45,20 @@
   private final Map<String, Double> runnableSinceSeconds = new HashMap<>();
   private final Map<String, Double> acceptedAtSeconds = new HashMap<>();
   private final Map<String, Double> startedAtSeconds = new HashMap<>();
+  private final RunnableJobs runnableJobs;
   private double faultsEndedAtSeconds = Double.POSITIVE_INFINITY;
 
+  /** Whether a job must not wait beside machines that could be rented for it either. */
+  private boolean countsRentableMachines;
+
   LivenessChecker(ClusterSimulation simulation, InvariantChecker checker) {
     this.simulation = simulation;
     this.checker = checker;
+    this.runnableJobs = new RunnableJobs(simulation, checker);
+  }
+
+  void countRentableMachines() {
+    countsRentableMachines = true;
   }
 
   void faultsEnded() {
@@ -85,75 +92,21 @@
       if (sinceSeconds != null && simulation.nowSeconds() - sinceSeconds > MAX_UNANSWERED_SECONDS) {
         checker.reportViolation("forgotten", "no status request about job " + id + " is answered");
       }
-      if (!isRunnable(job)) {
+      if (!runnableJobs.isRunnable(job, countsRentableMachines)) {
         runnableSinceSeconds.remove(id);
       } else if (simulation.nowSeconds()
               - runnableSinceSeconds.computeIfAbsent(id, x -> simulation.nowSeconds())
           > MAX_WAIT_SECONDS) {
         checker.reportViolation(
-            "left_waiting", "job " + id + " waits despite free capacity and quota");
+            "left_waiting",
+            "job "
+                + id
+                + " waits despite free capacity and quota: "
+                + runnableJobs.describe(job, countsRentableMachines));
       }
     }
   }
 
-  /**
-   * Returns whether the job has waiting tasks that could start now: suitable machines have free
-   * capacity, and the team's quota allows it. A gang job needs both for all of its waiting tasks.
-   */
-  private boolean isRunnable(ObjectNode job) {
-    String id = job.get("name_id").asText();
-    int waitingCount = 0;
-    for (int i = 0; i < job.get("pieces").asInt(); i++) {
-      String task = id + "/" + i;
-      waitingCount += checker.isRunning(task) || checker.isTaskDone(task) ? 0 : 1;
-    }
-    if (waitingCount == 0) {
-      return false;
-    }
-    int startTogetherCount = job.path("shape").asText().equals("ensemble") ? waitingCount : 1;
-    Resources task = InvariantChecker.resourcesOfOneTask(job);
-    Team team = simulation.teamLimit().apply(job.path("crew").asText());
-    Resources remainingQuota =
-        new Resources(team.maxCpus(), team.maxGpus(), Double.POSITIVE_INFINITY)
-            .minus(checker.usedBy(team.name()));
-    if (remainingQuota.countFitting(task) < startTogetherCount) {
-      return false;
-    }
-    if (job.path("one_zone").asBoolean()) {
-      return simulation.cloud().workers().values().stream()
-          .map(w -> w.zone())
-          .distinct()
-          .anyMatch(
-              zone -> countFreeSlots(job, task, w -> w.zone().equals(zone)) >= startTogetherCount);
-    }
-    return countFreeSlots(job, task, w -> true) >= startTogetherCount;
-  }
-
-  private int countFreeSlots(ObjectNode job, Resources task, Predicate<FakeWorker> machineFilter) {
-    int slots = 0;
-    for (FakeWorker worker : simulation.cloud().workers().values()) {
-      if (worker.canRunTasks()
-          && machineFilter.test(worker)
-          && allowsMachine(job, worker.type(), worker.zone(), worker.isSpot())) {
-        slots += worker.freeResources(checker::resourcesOfTask).countFitting(task);
-      }
-    }
-    return slots;
-  }
-
-  private static boolean allowsMachine(ObjectNode job, String type, String zone, boolean spot) {
-    JsonNode types = job.path("hosttypes");
-    boolean typeAllowed = !types.isArray() || types.isEmpty();
-    for (JsonNode allowedType : types) {
-      typeAllowed |= allowedType.asText().equals(type);
-    }
-    String requiredZone = job.path("yard").asText("");
-    boolean anyZone = requiredZone.isEmpty() || requiredZone.equals("null");
-    return typeAllowed
-        && (anyZone || requiredZone.equals(zone))
-        && (!spot || job.path("loaners").asBoolean());
-  }
-
   /** Returns why the job must not be accepted; null if it may be accepted. */
   static String findRejectionReason(ClusterSimulation simulation, ObjectNode job) {
     for (String field : REQUIRED_FIELDS) {
@@ -169,7 +122,9 @@
     boolean fits = false;
     for (MachineType type : simulation.cloud().machineTypes()) {
       for (String zone : type.zones()) {
-        fits |= task.fitsIn(type.capacity()) && allowsMachine(job, type.name(), zone, false);
+        fits |=
+            task.fitsIn(type.capacity())
+                && RunnableJobs.allowsMachine(job, type.name(), zone, false);
       }
     }
     if (!fits) {
