Gangs: only the tasks that are not done start together

Callers saw (on the fakes): a gang of three in a single zone waits for ever when one machine is taken back before it has reported its task as done and the other two have.

Cause: placement, preemption and the plan for renting each counted all of the gang's tasks, and the plan rents nothing for a gang that is not pending as a whole. Job.startTogetherCount answers for all of them now.

--- a/src/main/java/io/violetrail/fleet/ScaleOut.java
+++ b/src/main/java/io/violetrail/fleet/ScaleOut.java
@@ -233,7 +233,7 @@
         slots += machine.type().capacity().countFitting(job.spec().taskResources());
       }
     }
-    return slots >= (job.spec().shape() == JobShape.GANG ? job.spec().taskCount() : 1);
+    return slots >= job.startTogetherCount();
   }
 
   /**
--- a/src/main/java/io/violetrail/fleet/ScaleOutPlan.java
+++ b/src/main/java/io/violetrail/fleet/ScaleOutPlan.java
@@ -109,7 +109,7 @@
   void addDemand(Job job, int taskCount, boolean urgent) {
     boolean plannedAsWhole =
         job.spec().shape() == JobShape.GANG && (job.spec().singleZone() || job.hasNoPlacements());
-    if (plannedAsWhole && taskCount < job.spec().taskCount()) {
+    if (plannedAsWhole && taskCount < job.startTogetherCount()) {
       return;
     }
     ZoneAllowance allowance = ZoneAllowance.of(job);
--- a/src/main/java/io/violetrail/scheduling/BinPacker.java
+++ b/src/main/java/io/violetrail/scheduling/BinPacker.java
@@ -171,7 +171,7 @@
     long bestSlotCount = Long.MAX_VALUE;
     for (List<Machine> zoneMachines : machinesByZone.values()) {
       long slotCount = countSlots(job, zoneMachines);
-      if (slotCount >= job.spec().taskCount() && slotCount < bestSlotCount) {
+      if (slotCount >= job.startTogetherCount() && slotCount < bestSlotCount) {
         bestZone = zoneMachines;
         bestSlotCount = slotCount;
       }
@@ -189,13 +189,13 @@
 
   private Optional<List<Machine>> planTasks(Job job, List<Machine> fittingMachines) {
     JobSpec spec = job.spec();
-    if (countSlots(job, fittingMachines) < spec.taskCount()) {
+    if (countSlots(job, fittingMachines) < job.startTogetherCount()) {
       return Optional.empty();
     }
     List<Machine> chosenMachines = new ArrayList<>();
     ZoneAllowance allowance = ZoneAllowance.of(job);
     Map<Machine, Integer> plannedCountByMachine = new HashMap<>();
-    while (chosenMachines.size() < spec.taskCount()) {
+    while (chosenMachines.size() < job.startTogetherCount()) {
       Machine machine = chooseBest(job, fittingMachines).orElse(null);
       if (machine == null) {
         return Optional.empty();
--- a/src/main/java/io/violetrail/scheduling/Job.java
+++ b/src/main/java/io/violetrail/scheduling/Job.java
@@ -265,6 +265,15 @@
     return tasks.unplacedCount();
   }
 
+  /**
+   * Returns how many of the tasks must start at the same time if any does: all that are not done of
+   * a gang, otherwise one. A gang's tasks complete together, but a machine may be lost before it
+   * has reported its tasks as done; then only these are started again.
+   */
+  public int startTogetherCount() {
+    return spec.shape() == JobShape.GANG ? spec.taskCount() - doneCount() : 1;
+  }
+
   /**
    * Returns the first task at or after {@code from} that is neither done nor placed; -1 if there is
    * none.
--- a/src/main/java/io/violetrail/scheduling/Preemption.java
+++ b/src/main/java/io/violetrail/scheduling/Preemption.java
@@ -86,7 +86,7 @@
         candidatesByZone.computeIfAbsent(zone, z -> new ArrayList<>()).add(candidate);
       }
     }
-    int neededTaskCount = job.spec().shape() == JobShape.GANG ? job.spec().taskCount() : 1;
+    int neededTaskCount = job.startTogetherCount();
     List<PreemptionCandidate> bestCandidates = List.of();
     double bestLostCpuSeconds = Double.POSITIVE_INFINITY;
     for (List<PreemptionCandidate> zoneCandidates : candidatesByZone.values()) {
--- a/src/main/java/io/violetrail/scheduling/TaskScheduler.java
+++ b/src/main/java/io/violetrail/scheduling/TaskScheduler.java
@@ -346,7 +346,7 @@
   }
 
   /**
-   * Places all of a gang's tasks at once, or none.
+   * Places all of a gang's tasks that are not done at once, or none.
    *
    * @return the resources of the placed tasks
    */
@@ -356,7 +356,7 @@
       Collection<Machine> schedulableMachines,
       Resources quota,
       double nowSeconds) {
-    Resources gangResources = job.spec().taskResources().times(job.spec().taskCount());
+    Resources gangResources = job.spec().taskResources().times(job.startTogetherCount());
     if (!job.hasNoPlacements()
         || !gangResources.fitsIn(quota)
         || !job.retries().mayStartAll(nowSeconds)) {
@@ -369,9 +369,11 @@
     }
     List<Machine> chosenMachines = plan.get();
     long attempt = entity.nextAttemptId();
-    for (int i = 0; i < chosenMachines.size(); i++) {
-      entity.addPlacement(new TaskPlacement(job, i, chosenMachines.get(i), attempt, nowSeconds));
-      recordNewPlacement(chosenMachines.get(i));
+    int taskIndex = -1;
+    for (Machine machine : chosenMachines) {
+      taskIndex = job.findNextUnplaced(taskIndex + 1);
+      entity.addPlacement(new TaskPlacement(job, taskIndex, machine, attempt, nowSeconds));
+      recordNewPlacement(machine);
     }
     remainingPlacements -= chosenMachines.size();
     return gangResources;
--- a/src/test/java/io/violetrail/simulation/GangAndQuotaTest.java
+++ b/src/test/java/io/violetrail/simulation/GangAndQuotaTest.java
@@ -45,6 +45,27 @@
     simulation.runUntil(90, () -> user.pollStatus("c0", "job-1").equals("done"));
   }
 
+  @Test
+  void gangIsCompletedWhenMachineIsLostBeforeItReportsItsTaskAsDone() {
+    // Guards against a gang that waits for room for all of its tasks although some are done.
+    simulation.cloud().setTaskDurationSeconds(1_000);
+    simulation.startAllControllers();
+    user.submit(
+        "c0",
+        SimulatedUser.jobRequest("job-1", 3)
+            .put("shape", "ensemble")
+            .put("cores", 8.0)
+            .put("one_zone", true));
+    final FakeWorker first = awaitRunning("job-1/0");
+    final FakeWorker second = awaitRunning("job-1/1");
+    final FakeWorker lost = awaitRunning("job-1/2");
+    simulation.runFor(2);
+    first.endTaskNow("job-1/0");
+    second.endTaskNow("job-1/1");
+    simulation.cloud().takeBack(lost);
+    simulation.runUntil(60, () -> simulation.cloud().workersRunning("job-1/2").size() == 1);
+  }
+
   @Test
   void gangKeepsRunningThroughFailoverAndFailback() {
     resetSimulation(11);
