Launches: an outcome counts only once no copy of the launch can be executed

Cause: the worker accepts a copy for 4 s after the report was sent, by token, session and age, and executes the launch if it has no record of the attempt: after a FORGET, or since the machine has restarted. FORGET came within a second of the launch, and the end or absence of an attempt in the next report let it start elsewhere; a silent machine that had restarted had a lease that its owner did not know of, also after a handback.

Now a machine keeps its launches of the last 4.5 s. An attempt is not forgotten before, and no report of the same session ends it unless it is done; bounds for silent machines count from the end of the 4 s.

The fake worker also refuses a launch of a task that it runs with another attempt, as the protocol says.

--- a/src/main/java/io/violetrail/controller/EntityRecovery.java
+++ b/src/main/java/io/violetrail/controller/EntityRecovery.java
@@ -122,7 +122,7 @@
     double goneAfterMoveAtSeconds =
         entity.acquiredAtSeconds()
             + (entity.acquiredGracefully()
-                ? leaseTiming.tasksGoneAfterReplySeconds()
+                ? leaseTiming.tasksGoneAfterHandoverSeconds()
                 : leaseTiming.tasksGoneAfterFailoverSeconds());
     double goneAtSeconds =
         Math.max(goneAfterMoveAtSeconds, nowSeconds + leaseTiming.tasksGoneAfterReplySeconds());
--- a/src/main/java/io/violetrail/fleet/Machine.java
+++ b/src/main/java/io/violetrail/fleet/Machine.java
@@ -7,6 +7,7 @@
 import io.violetrail.model.Resources;
 import io.violetrail.model.TaskId;
 import io.violetrail.model.Version;
+import io.violetrail.ownership.LeaseTiming;
 import io.violetrail.ownership.StateSchema.MachineRow;
 import io.violetrail.scheduling.Job;
 import io.violetrail.scheduling.TaskPlacement;
@@ -34,6 +35,7 @@
   private final WorkerStatus worker;
   private final PlacedTasks tasks;
   private final MachineReservations reservations = new MachineReservations();
+  private final RecentLaunches recentLaunches = new RecentLaunches();
   private final Set<String> cachedImages = new HashSet<>();
   private final Map<Job, Integer> failuresByJob = new HashMap<>();
   private boolean quarantined;
@@ -462,6 +464,31 @@
     tasks.setExitedReportBytes(bytes);
   }
 
+  /** Records that a launch of the placement is sent to the worker now. */
+  public void recordLaunch(TaskPlacement placement, double nowSeconds) {
+    placement.markLaunched();
+    recentLaunches.record(placement.taskId(), placement.attempt(), nowSeconds);
+  }
+
+  /**
+   * Returns whether no copy of a launch of this attempt can be executed here any more. Before, no
+   * report in the same session proves that the attempt is over, and it must not be forgotten.
+   */
+  public boolean isLaunchSettled(TaskId taskId, long attempt, double nowSeconds) {
+    return recentLaunches.isSettled(taskId, attempt, nowSeconds);
+  }
+
+  /**
+   * Returns the latest time at which the worker's lease may have begun or may have been renewed. If
+   * the machine has restarted, its lease began anew, and a copy of a launch may have been executed
+   * under it for as long as the worker accepts the reply.
+   */
+  public double latestLeaseStartSeconds() {
+    return Math.max(
+        latestRenewalAtSeconds(),
+        recentLaunches.latestSentAtSeconds() + LeaseTiming.WORKER_REPLY_VALIDITY_SECONDS);
+  }
+
   /** Returns the free resources. The value is cached until the tasks change. */
   public Resources freeCapacity() {
     return tasks.freeCapacity();
--- a/src/main/java/io/violetrail/ownership/LeaseTiming.java
+++ b/src/main/java/io/violetrail/ownership/LeaseTiming.java
@@ -44,6 +44,9 @@
     double tasksGoneAfterReplySeconds,
     double renewalWhileLoadingSeconds,
     double maxClockSkewSeconds) {
+  /** A worker drops a reply that it receives later than this after it has sent the report. */
+  public static final double WORKER_REPLY_VALIDITY_SECONDS = 4;
+
   /** Four times the drift of 0.05 % that the protocol allows between two steady clocks. */
   private static final double MAX_CLOCK_DRIFT = 0.002;
 
@@ -80,10 +83,22 @@
 
   /**
    * Returns how many seconds after a failover all tasks have certainly ended on a machine that has
-   * not reported since.
+   * not reported since. The former owner's last launches may also be executed once more by a
+   * machine that has restarted; see {@link #tasksGoneAfterHandoverSeconds}.
    */
   public double tasksGoneAfterFailoverSeconds() {
-    return keepAliveGraceSeconds * (1 + MAX_CLOCK_DRIFT) + tasksGoneAfterReplySeconds;
+    return Math.max(
+        keepAliveGraceSeconds * (1 + MAX_CLOCK_DRIFT) + tasksGoneAfterReplySeconds,
+        tasksGoneAfterHandoverSeconds());
+  }
+
+  /**
+   * Returns how many seconds after a handover all tasks have certainly ended on a machine that has
+   * not reported since. If the machine has restarted, its worker's lease began anew, and under it
+   * the worker may execute a copy of a reply with launches for as long as such a reply is valid.
+   */
+  public double tasksGoneAfterHandoverSeconds() {
+    return WORKER_REPLY_VALIDITY_SECONDS + tasksGoneAfterReplySeconds;
   }
 
   /**
--- a/src/main/java/io/violetrail/scheduling/MachineLivenessMonitor.java
+++ b/src/main/java/io/violetrail/scheduling/MachineLivenessMonitor.java
@@ -86,7 +86,7 @@
 
   private boolean isLeaseExpired(Machine machine, double nowSeconds) {
     return machine.tasksKnown()
-        ? nowSeconds - machine.latestRenewalAtSeconds() > leaseTiming.tasksGoneAfterReplySeconds()
+        ? nowSeconds - machine.latestLeaseStartSeconds() > leaseTiming.tasksGoneAfterReplySeconds()
         : nowSeconds > machine.unreportedTasksGoneAtSeconds();
   }
 
--- a/src/main/java/io/violetrail/worker/CommandWriter.java
+++ b/src/main/java/io/violetrail/worker/CommandWriter.java
@@ -15,9 +15,10 @@
  * Writes the launch and stop commands for a reply to a heartbeat, according to the placements on
  * the machine.
  *
- * <p>Launches are sent only in replies to heartbeats. A worker has a single report in flight and
- * drops late replies, so its next report always shows whether a launch arrived. A task is therefore
- * never launched late, when it may already run elsewhere.
+ * <p>Launches are sent only in replies to heartbeats, which workers drop when they are late. The
+ * network may deliver a reply twice, however, so the outcome of a launch counts only once it is
+ * settled ({@link Machine#isLaunchSettled}). A task is therefore never launched late, when it may
+ * already run elsewhere.
  *
  * <p>Called on the event loop's thread; has no state. Each {@link TaskPlacement} records to which
  * report the reply with its launch was sent. This information is lost with the process.
@@ -47,11 +48,11 @@
    * @param commands receives the commands; launches are added only while it has fewer than {@link
    *     LeaseRenewal#MAX_COMMANDS}, stops always
    */
-  void addCommands(Machine machine, List<WorkerCommand> commands) {
+  void addCommands(Machine machine, List<WorkerCommand> commands, double nowSeconds) {
     for (TaskPlacement placement : machine.placements().values()) {
       if (placement.isRevocable()) {
         if (mayLaunch(machine, commands)) {
-          launch(machine, placement, commands);
+          launch(machine, placement, commands, nowSeconds);
         }
       } else if (shouldStop(placement)) {
         commands.add(WorkerCommands.stop(placement));
@@ -65,9 +66,10 @@
         && configuration.isFresh();
   }
 
-  private void launch(Machine machine, TaskPlacement placement, List<WorkerCommand> commands) {
+  private void launch(
+      Machine machine, TaskPlacement placement, List<WorkerCommand> commands, double nowSeconds) {
     commands.add(WorkerCommands.launch(placement));
-    placement.markLaunched();
+    machine.recordLaunch(placement, nowSeconds);
     LOG.debug(
         "sending launch of task {} attempt {} to machine {}",
         placement.taskId(),
--- a/src/main/java/io/violetrail/worker/LongPollReplies.java
+++ b/src/main/java/io/violetrail/worker/LongPollReplies.java
@@ -97,7 +97,7 @@
     machine.recordReply(loop.monotonicSeconds());
     List<WorkerCommand> commands = new ArrayList<>(delayedCommands);
     if (isNewestReport(machine, report) && membership.isLeaseValid() && entity.isActive()) {
-      commandWriter.addCommands(machine, commands);
+      commandWriter.addCommands(machine, commands, loop.monotonicSeconds());
     }
     return leaseRenewal.renew(entity, entity.fencingTokenFor(machine), report, commands);
   }
--- a/src/main/java/io/violetrail/worker/OwnedMachineHeartbeat.java
+++ b/src/main/java/io/violetrail/worker/OwnedMachineHeartbeat.java
@@ -123,7 +123,7 @@
       // The machine was transferred to this entity without tasks, so its worker may receive its
       // first launches before it has seen a token of this owner.
       machine.recordNewestReport(report.session(), report.sequence());
-      commandWriter.addCommands(machine, firstLaunches);
+      commandWriter.addCommands(machine, firstLaunches, nowSeconds);
     }
     return leaseRenewal.renew(entity, token, report, firstLaunches);
   }
@@ -152,7 +152,7 @@
     } else if (!wasSchedulable && machine.isSchedulable()) {
       schedulingLoop.requestPass();
     }
-    commandWriter.addCommands(machine, commands);
+    commandWriter.addCommands(machine, commands, loop.monotonicSeconds());
     return leaseRenewal.renew(entity, token, report, commands);
   }
 
--- a/src/main/java/io/violetrail/worker/ReportReconciliation.java
+++ b/src/main/java/io/violetrail/worker/ReportReconciliation.java
@@ -108,12 +108,17 @@
 
   /**
    * Removes placements whose launch was sent but whose task is not in the report. The launch was
-   * sent in the reply to an earlier report, so either it never arrived or the task is gone.
+   * sent in the reply to an earlier report, so either it never arrived or the task is gone. In the
+   * same session that counts only once the launch is settled: if the machine has restarted, a copy
+   * of the launch could start the task again. The worker drops replies to reports of an earlier
+   * session.
    */
   private void removeUnreportedPlacements(TerminationEvidence evidence) {
     for (TaskPlacement placement : List.copyOf(machine.placements().values())) {
       if (!placement.isRevocable()
           && !reportedTasks.contains(placement.taskId())
+          && (evidence == TerminationEvidence.LATER_SESSION
+              || isSettled(placement.taskId(), placement.attempt()))
           && machine.findPlacement(placement.taskId()) == placement) {
         LOG.debug(
             "removing task {} attempt {}: the latest report of machine {} does not show it",
@@ -191,6 +196,20 @@
     return placement;
   }
 
+  private boolean isSettled(TaskId taskId, long attempt) {
+    return machine.isLaunchSettled(taskId, attempt, nowSeconds);
+  }
+
+  /**
+   * Tells the worker to forget an exited task. That is put off until its launch is settled, as
+   * without a record of the attempt the worker would execute a copy of the launch.
+   */
+  private void forgetIfSettled(TaskReport taskReport) {
+    if (isSettled(taskReport.taskId(), taskReport.attempt())) {
+      commands.add(WorkerCommands.forget(taskReport));
+    }
+  }
+
   private void reconcileExitedTask(Job job, TaskReport taskReport) {
     int index = taskReport.taskId().index();
     boolean succeeded = taskReport.exitCause() == ExitCause.DONE;
@@ -203,7 +222,8 @@
     }
     if (placement != null
         && placement.attempt() == taskReport.attempt()
-        && !placement.isRevocable()) {
+        && !placement.isRevocable()
+        && (job.isDone(index) || isSettled(taskReport.taskId(), taskReport.attempt()))) {
       removeExitedPlacement(job, placement, taskReport.exitCause());
     }
     if (job.isDone(index)) {
@@ -214,7 +234,7 @@
         return;
       }
     }
-    commands.add(WorkerCommands.forget(taskReport));
+    forgetIfSettled(taskReport);
   }
 
   private void removeExitedPlacement(Job job, TaskPlacement placement, ExitCause exitCause) {
@@ -237,7 +257,7 @@
           taskReport.taskId(),
           knownJob == null ? machine.type().capacity() : knownJob.taskResources());
     } else if (knownJob != null) {
-      commands.add(WorkerCommands.forget(taskReport));
+      forgetIfSettled(taskReport);
     }
   }
 }
--- a/src/test/java/io/violetrail/fakes/FakeWorker.java
+++ b/src/test/java/io/violetrail/fakes/FakeWorker.java
@@ -115,6 +115,22 @@
   /** All reports sent so far, in order, for {@link #resendReport}. */
   private final List<byte[]> sentReports = new ArrayList<>();
 
+  /** The replies that this worker has received, in order, for {@link #receiveCopyOfReply}. */
+  private final List<ReceivedReply> receivedReplies = new ArrayList<>();
+
+  /** The direct commands that have arrived here, for {@link #receiveCopyOfCommands}. */
+  private final List<byte[]> receivedCommands = new ArrayList<>();
+
+  /** Counts the starts of this worker's process; callbacks of former processes do nothing. */
+  private int processNumber;
+
+  /** A reply to a report of this worker. */
+  private record ReceivedReply(
+      HttpClient.ClientResponse reply, String target, double sentAtSeconds, long sentInSession) {}
+
+  /** When each of {@link #sentReports} was sent. */
+  private final List<Double> reportSentAtSeconds = new ArrayList<>();
+
   /** The length of the longest report in JSON form, in which the protocol counts sizes. */
   private int largestReportBytes;
 
@@ -236,6 +252,7 @@
       } else if (up && path.equals("/status")) {
         done.accept(RequestHandler.HttpResponse.of(200, Cbor.newMap()));
       } else if (up && path.equals("/orders")) {
+        receivedCommands.add(body);
         done.accept(RequestHandler.HttpResponse.empty(executeCommands(body) ? 200 : 409));
       }
     };
@@ -271,6 +288,86 @@
         && simulation.nowSeconds() >= hangsUntilSeconds;
   }
 
+  /**
+   * Restarts the machine: its tasks are lost, and its worker begins with the first session and
+   * without a fencing token.
+   */
+  public void restart(double downSeconds) {
+    destroy();
+    processNumber++;
+    simulation.runAfter(
+        downSeconds,
+        () -> {
+          if (simulation.cloud().workers().get(id) != this || up) {
+            return;
+          }
+          session = 1;
+          reportSequence = 0;
+          highestFencingToken = 0;
+          controller = null;
+          inFlight = false;
+          changedWhileInFlight = false;
+          boot();
+        });
+  }
+
+  public int receivedReplyCount() {
+    return receivedReplies.size();
+  }
+
+  /**
+   * Lets a copy of an earlier reply arrive. The worker checks it as it checks any reply: the
+   * session and the age of the report, and the token. The copy does not change where it reports.
+   */
+  public void receiveCopyOfReply(int index) {
+    ReceivedReply copy = receivedReplies.get(index);
+    if (up && copy.reply().status() == 200) {
+      executeReply(parse(copy.reply().body()), copy.sentAtSeconds(), copy.sentInSession());
+    }
+  }
+
+  /** Lets a copy of the latest reply with a launch arrive. */
+  public void receiveCopyOfLatestLaunch() {
+    int index = receivedReplies.size() - 1;
+    while (countLaunches(receivedReplies.get(index).reply()) == 0) {
+      index--;
+    }
+    receiveCopyOfReply(index);
+  }
+
+  public int receivedCommandsCount() {
+    return receivedCommands.size();
+  }
+
+  /** Lets a copy of earlier direct commands arrive; token and session are checked. */
+  public void receiveCopyOfCommands(int index) {
+    if (up) {
+      executeCommands(receivedCommands.get(index));
+    }
+  }
+
+  /** Sends a copy of an earlier report, whose reply reaches this worker like any other. */
+  public void resendReportForReply(int reportIndex, String controllerName) {
+    double sentAtSeconds = reportSentAtSeconds.get(reportIndex);
+    long sentInSession = parse(sentReports.get(reportIndex)).get("tenure").asLong();
+    simulation
+        .callController(id, controllerName, "POST", "/agent/beat", sentReports.get(reportIndex))
+        .whenComplete(
+            (reply, failure) -> {
+              if (up && failure == null && reply.status() == 200) {
+                executeReply(parse(reply.body()), sentAtSeconds, sentInSession);
+              }
+            });
+  }
+
+  private static ObjectNode parse(byte[] body) {
+    try {
+      return Cbor.parse(body);
+    } catch (Cbor.MalformedMessageException exception) {
+      throw new IllegalStateException(exception);
+    }
+  }
+
   void boot() {
     up = true;
     leaseRenewedAtSeconds = simulation.nowSeconds();
@@ -349,10 +446,11 @@
   }
 
   private void scheduleReports() {
+    int scheduledIn = processNumber;
     simulation.runAfter(
         simulation.workerSettings().heartbeatIntervalSeconds(),
         () -> {
-          if (up) {
+          if (up && scheduledIn == processNumber) {
             if (simulation.nowSeconds() >= hangsUntilSeconds) {
               reportIfIdle();
             }
@@ -465,12 +563,14 @@
     }
     double sentAtSeconds = simulation.nowSeconds();
     long sentInSession = session;
+    final int sentBy = processNumber;
     inFlight = true;
     byte[] report = Cbor.encode(message);
     largestReportBytes = Math.max(largestReportBytes, message.toString().length());
     lastReportAtSeconds = sentAtSeconds;
     if (recordsReports) {
       sentReports.add(report);
+      reportSentAtSeconds.add(sentAtSeconds);
     }
     if (outboundCut) {
       simulation.runAfter(
@@ -482,6 +582,12 @@
         .callController(id, target, "POST", "/agent/beat", report)
         .whenComplete(
             (reply, failure) -> {
+              if (sentBy != processNumber) {
+                return;
+              }
+              if (recordsReports && failure == null) {
+                receivedReplies.add(new ReceivedReply(reply, target, sentAtSeconds, sentInSession));
+              }
               if (inboundCut && failure == null) {
                 lostLaunchCount += countLaunches(reply);
                 simulation.runAfter(
@@ -571,19 +677,23 @@
       } else {
         controller = target;
         ObjectNode message = Cbor.parse(reply.body());
-        if (simulation.missingTokenBehavior().tokenOf(message) >= highestFencingToken
-            && sentInSession == session
-            && simulation.nowSeconds() - sentAtSeconds < REPLY_TIMEOUT_SECONDS) {
-          highestFencingToken = simulation.missingTokenBehavior().tokenOf(message);
-          leaseRenewedAtSeconds = sentAtSeconds;
-          message.path("orders").forEach(this::executeCommand);
-        }
+        executeReply(message, sentAtSeconds, sentInSession);
       }
     } catch (Cbor.MalformedMessageException exception) {
       throw new IllegalStateException(exception);
     }
   }
 
+  private void executeReply(ObjectNode message, double sentAtSeconds, long sentInSession) {
+    if (simulation.missingTokenBehavior().tokenOf(message) >= highestFencingToken
+        && sentInSession == session
+        && simulation.nowSeconds() - sentAtSeconds < REPLY_TIMEOUT_SECONDS) {
+      highestFencingToken = simulation.missingTokenBehavior().tokenOf(message);
+      leaseRenewedAtSeconds = Math.max(leaseRenewedAtSeconds, sentAtSeconds);
+      message.path("orders").forEach(this::executeCommand);
+    }
+  }
+
   /** Schedules a report to the controller after the one that did not accept the last report. */
   private void retryAtNextController(String tried) {
     nextControllerIndex = ClusterSimulation.controllerIndex(tried) + 1;
@@ -601,7 +711,10 @@
     LocalTask localTask = tasksById.get(taskId);
     switch (command.get("verb").asText()) {
       case "launch" -> {
-        if (localTask != null && localTask.attempt == command.get("try").asLong()) {
+        if (localTask != null
+            && (localTask.attempt == command.get("try").asLong()
+                || !localTask.status.equals("ended"))) {
+          // Known in any state, or refused as the task is here with another attempt.
           return;
         }
         LocalTask launched = new LocalTask();
