Attempts: numbers of one version stay below those of the next

Nothing was seen by callers. It is one of the ways in which a controller could repeat a start: the worker takes a launch of a number that it knows for one that it has carried out, and a late stop ends the newer attempt.

Cause: the count had room for a million. It has 2^36 now.

--- a/src/main/java/io/violetrail/ownership/OwnedEntity.java
+++ b/src/main/java/io/violetrail/ownership/OwnedEntity.java
@@ -62,8 +62,12 @@
     LOST
   }
 
-  /** Greater than the number of task attempts that an owner ever starts under one version. */
-  private static final long MAX_ATTEMPTS_PER_VERSION = 1_000_000;
+  /**
+   * Greater than the number of task attempts that an owner starts under one version: at a thousand
+   * a second it takes two years to use them up. Attempt numbers of one version are therefore below
+   * those of the next.
+   */
+  private static final long MAX_ATTEMPTS_PER_VERSION = 1L << 36;
 
   private final EntityRow row;
   private final boolean acquiredGracefully;
