--- a/src/main/java/io/violetrail/scheduling/PlacementConstraints.java
+++ b/src/main/java/io/violetrail/scheduling/PlacementConstraints.java
@@ -71,7 +71,7 @@
   boolean fits(Job job, Machine machine, ZoneAllowance allowance, double nowSeconds) {
     return job.spec().taskResources().fitsIn(machine.freeCapacity())
         && !(job.bestEffort() && nowSeconds < machine.bestEffortBarredUntilSeconds())
-        && isAllowed(job, machine, allowance)
+        && isAllowed(job, machine, allowance, nowSeconds)
         && !isReservedForOthers(job, machine, nowSeconds)
         && keepsAcceleratorReserve(job, machine, allowance, nowSeconds)
         && isAffordable(job, machine, allowance, nowSeconds);
@@ -84,7 +84,7 @@
    * @param allowance the zones in which the task may start
    */
   public boolean mayUse(Job job, Machine machine, ZoneAllowance allowance, double nowSeconds) {
-    return isAllowed(job, machine, allowance)
+    return isAllowed(job, machine, allowance, nowSeconds)
         && !isReservedForOthers(job, machine, nowSeconds)
         && isAffordable(job, machine, allowance, nowSeconds);
   }
@@ -100,12 +100,14 @@
 
   /**
    * Returns whether the job's constraints on types, zones and spot machines allow the machine, and
-   * the job does not avoid it because of failures there.
+   * the job does not avoid it because of failures there. A job that has waited for too long avoids
+   * none: there may be no other machine, and a fault may have passed.
    */
-  private static boolean isAllowed(Job job, Machine machine, ZoneAllowance allowance) {
+  private static boolean isAllowed(
+      Job job, Machine machine, ZoneAllowance allowance, double nowSeconds) {
     return machine.isAllowedFor(job.spec())
         && allowance.allows(machine.row().zone())
-        && !job.failureHistory().avoidsMachine(machine.id());
+        && (!job.failureHistory().avoidsMachine(machine.id()) || job.mayUseAnyRoom(nowSeconds));
   }
 
   /**
--- a/src/test/java/io/violetrail/simulation/ZoneConstraintsTest.java
+++ b/src/test/java/io/violetrail/simulation/ZoneConstraintsTest.java
@@ -224,4 +224,37 @@
     simulation.alwaysFailingJobs().clear();
     awaitAllRunning("job-1", 1);
   }
+
+  @Test
+  void jobThatFailedOnTheOnlyMachineIsTriedThereAgainIfThereIsNoOther() {
+    // Guards against a job that avoids the only machine for ever (review, case 2).
+    simulation.startAllControllers();
+    user.submit("c0", job("job-8", "daemon", 1));
+    awaitAllRunning("job-8", 1);
+    List.of("a", "b", "c").forEach(simulation.cloud()::sellOutZone);
+    failOnEachMachine("job-1", 1);
+    awaitAllRunning("job-1", 1);
+  }
+
+  @Test
+  void jobThatFailedOnBothMachinesIsTriedThereAgainIfThereIsNoOther() {
+    // Guards against a job that counts as failing everywhere and avoids all machines that there
+    // are.
+    simulation.startAllControllers();
+    user.submit("c0", spreadService("job-8", 2));
+    awaitAllRunning("job-8", 2);
+    List.of("a", "b", "c").forEach(simulation.cloud()::sellOutZone);
+    failOnEachMachine("job-1", 2);
+    awaitAllRunning("job-1", 1);
+  }
+
+  /** Submits a job and lets its task fail as often as there are machines. */
+  private void failOnEachMachine(String id, int machineCount) {
+    int launchesBefore = launchCount();
+    simulation.alwaysFailingJobs().add(id);
+    assertEquals(201, user.submit("c0", job(id, "batch", 1)));
+    simulation.runUntil(60, () -> launchCount() == launchesBefore + machineCount);
+    simulation.runFor(2);
+    simulation.alwaysFailingJobs().clear();
+  }
 }
