--- a/src/test/java/io/violetrail/fakes/FakeCloud.java
+++ b/src/test/java/io/violetrail/fakes/FakeCloud.java
@@ -37,6 +37,9 @@
   /** Boot time by machine number; a machine with a negative time never comes up. */
   private IntToDoubleFunction bootSeconds = machineNumber -> 3;
 
+  /** Zones that are cut off: machines can be rented there, but never report. */
+  private final Set<String> lostZones = new HashSet<>();
+
   /** Delay of the reply to a rental request. */
   private double rentalReplyDelaySeconds;
 
@@ -105,6 +108,19 @@
     worker.destroy();
   }
 
+  /** Cuts a zone off: its machines end, and those that are rented there later never report. */
+  public void loseZone(String zone) {
+    lostZones.add(zone);
+    workers.values().stream()
+        .filter(worker -> worker.zone().equals(zone))
+        .forEach(FakeWorker::destroy);
+  }
+
+  /** Lets machines that are rented from now on report again. */
+  public void reopenZones() {
+    lostZones.clear();
+  }
+
   public void setBootSeconds(IntToDoubleFunction bootSeconds) {
     this.bootSeconds = bootSeconds;
   }
@@ -256,7 +272,7 @@
                 request.get("loaners").asBoolean());
         machineIds.add(worker.id());
         double bootDelaySeconds = bootSeconds.applyAsDouble(nextMachineNumber);
-        if (bootDelaySeconds >= 0) {
+        if (bootDelaySeconds >= 0 && !lostZones.contains(worker.zone())) {
           simulation.runAfter(bootDelaySeconds, worker::boot);
         }
       }
--- a/src/test/java/io/violetrail/simulation/ZoneConstraintsTest.java
+++ b/src/test/java/io/violetrail/simulation/ZoneConstraintsTest.java
@@ -109,6 +109,29 @@
     awaitAllRunning("job-1", 7);
   }
 
+  @Test
+  void lostReplicaIsNotWaitedForInZoneThatIsCutOff() {
+    // Guards against machines that are rented again and again in a zone from which none reports.
+    simulation.cloud().machineTypes().clear();
+    simulation
+        .cloud()
+        .machineTypes()
+        .add(
+            new MachineType(
+                "slow", new Resources(8, 0, 32), 50, 1, 1, 0.3, 20, List.of("a", "b", "c")));
+    simulation.cloud().setBootSeconds(number -> 20);
+    simulation.startAllControllers();
+    assertEquals(201, user.submit("c0", spreadService("job-1", 2).put("cores", PLAIN_CPUS)));
+    awaitAllRunning("job-1", 2);
+    for (int round = 0; round < 4; round++) {
+      simulation.runFor(5);
+      FakeWorker lost = workerOf("job-1/0");
+      simulation.cloud().loseZone(lost.zone());
+      awaitAllRunning("job-1", 2);
+      simulation.cloud().reopenZones();
+    }
+  }
+
   @Test
   void spreadGangGetsMachinesInSeveralZones() {
     // Guards against a gang for which all machines are rented in one zone, where it may not start.
