--- a/src/main/java/io/violetrail/fleet/OfferingSelector.java
+++ b/src/main/java/io/violetrail/fleet/OfferingSelector.java
@@ -5,7 +5,6 @@
 import io.violetrail.scheduling.ZoneAllowance;
 import java.util.Collection;
 import java.util.Objects;
-import java.util.Set;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 
@@ -20,15 +19,11 @@
   /** The largest fraction added to an offering's cost, to prefer one of equally cheap offerings. */
   private static final double TIE_BREAK_FRACTION = 0.01;
 
-  /** How many times as much a machine elsewhere may cost before an unreachable zone is chosen. */
-  private static final double UNREACHABLE_ZONE_COST_FACTOR = 3;
-
   private final Collection<MachineType> types;
   private final AcceleratorPolicy acceleratorPolicy;
   private final boolean acceleratorsWanted;
   private final Prices prices;
   private final Predicate<MachineOffering> isSoldOut;
-  private final Set<String> unreachableZones;
   private final ToDoubleFunction<Job> maxPriceRatioOf;
   private final int tieBreakSeed;
 
@@ -38,8 +33,6 @@
    * @param acceleratorsWanted whether a job with accelerators was pending recently; then machines
    *     with accelerators are not rented for other jobs that could run elsewhere, as placement
    *     keeps these off them too
-   * @param unreachableZones zones from which no machine reports although some should; they are
-   *     chosen only if others cost much more
    * @param maxPriceRatioOf the most that a job's task may cost, as a multiple of the cheapest
    *     on-demand price
    * @param tieBreakSeed decides which of equally cheap offerings is preferred
@@ -49,7 +42,6 @@
       boolean acceleratorsWanted,
       Prices prices,
       Predicate<MachineOffering> isSoldOut,
-      Set<String> unreachableZones,
       ToDoubleFunction<Job> maxPriceRatioOf,
       int tieBreakSeed) {
     this.types = types;
@@ -57,7 +49,6 @@
     this.acceleratorsWanted = acceleratorsWanted;
     this.prices = prices;
     this.isSoldOut = isSoldOut;
-    this.unreachableZones = unreachableZones;
     this.maxPriceRatioOf = maxPriceRatioOf;
     this.tieBreakSeed = tieBreakSeed;
   }
@@ -87,9 +78,7 @@
           if (!isEligible(job, allowance, type, offering, zoneTaskCount, maxPriceRatio)) {
             continue;
           }
-          double cost =
-              costPerTask(job, offering, zoneTaskCount)
-                  * (unreachableZones.contains(zone) ? UNREACHABLE_ZONE_COST_FACTOR : 1);
+          double cost = costPerTask(job, offering, zoneTaskCount);
           if (cost < bestCost) {
             bestCost = cost;
             best = offering;
--- a/src/main/java/io/violetrail/fleet/ScaleOut.java
+++ b/src/main/java/io/violetrail/fleet/ScaleOut.java
@@ -15,11 +15,9 @@
 import io.violetrail.scheduling.ZoneAllowance;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import java.util.Set;
 
 /**
  * Rents machines for an entity's pending tasks that fit on none of its running, booting or
@@ -91,7 +89,7 @@
   /** Packs the entity's pending tasks into its machines, and rents machines for the rest. */
   void rentForPendingTasks(OwnedEntity entity, double nowSeconds) {
     constraints.beginPass(pendingQueues.orderedJobs(entity));
-    ScaleOutPlan plan = newPlan(entity, nowSeconds);
+    ScaleOutPlan plan = newPlan(nowSeconds);
     addMachines(entity, plan, nowSeconds);
     Map<MachineOffering, Integer> pendingCounts = scaleOutRequests.pendingMachineCounts(entity);
     addPendingMachines(plan, pendingCounts);
@@ -110,14 +108,13 @@
             entry -> scaleOutRequests.requestMachines(entity, entry.getKey(), entry.getValue()));
   }
 
-  private ScaleOutPlan newPlan(OwnedEntity entity, double nowSeconds) {
+  private ScaleOutPlan newPlan(double nowSeconds) {
     OfferingSelector selector =
         new OfferingSelector(
             machineTypes.all(),
             constraints.hasRecentAcceleratorDemand(nowSeconds),
             machineTypes.prices(),
             soldOutOfferings::contains,
-            findUnreachableZones(entity, nowSeconds),
             job ->
                 serviceLevelObjectives.maxPriceRatio(
                     job, nowSeconds, runtimeEstimates.expectedRuntimeSeconds(job.spec())),
@@ -131,27 +128,6 @@
         nowSeconds);
   }
 
-  /**
-   * Returns the zones in which machines are unresponsive or late in booting, and none is in
-   * service. A zone may be cut off while the provider still rents machines there.
-   */
-  private Set<String> findUnreachableZones(OwnedEntity entity, double nowSeconds) {
-    Set<String> unreachableZones = new HashSet<>();
-    Set<String> reachableZones = new HashSet<>();
-    for (Machine machine : entity.machines().values()) {
-      boolean lateInBooting =
-          !machine.row().hasReported()
-              && bootTimes.isLate(machine.type(), machine.rentedAtSeconds(), nowSeconds);
-      if (machine.isSchedulable()) {
-        reachableZones.add(machine.row().zone());
-      } else if (lateInBooting || machine.isUnresponsive()) {
-        unreachableZones.add(machine.row().zone());
-      }
-    }
-    unreachableZones.removeAll(reachableZones);
-    return unreachableZones;
-  }
-
   /**
    * Adds the entity's schedulable and booting machines to the plan. Up to {@link
    * #maxReplacedMachines} late-booting ones are left out, so that they are replaced.
