--- a/src/main/java/io/violetrail/fleet/FreeCapacityForecast.java
+++ b/src/main/java/io/violetrail/fleet/FreeCapacityForecast.java
@@ -38,7 +38,8 @@
   Resources freeAtBootTime(Machine machine, double nowSeconds) {
     Resources capacity = machine.freeCapacity();
     for (TaskPlacement placement : machine.placements().values()) {
-      if (remainingSeconds(placement, nowSeconds) < machine.type().bootSeconds()) {
+      if (!placement.isExitReported()
+          && remainingSeconds(placement, nowSeconds) < machine.type().bootSeconds()) {
         capacity = capacity.plus(placement.job().spec().taskResources());
       }
     }
@@ -57,7 +58,8 @@
       double secondsLeft = machine.type().bootSeconds() - remainingSeconds(placement, nowSeconds);
       int sequentialTasks =
           (int) (secondsLeft / runtimeEstimates.expectedRuntimeSeconds(placement.job().spec()));
-      if (secondsLeft > 0
+      if (!placement.isExitReported()
+          && secondsLeft > 0
           && sequentialTasks > 0
           && placement.job().spec().shape() == JobShape.ARRAY) {
         capacity =
--- a/src/main/java/io/violetrail/fleet/Machine.java
+++ b/src/main/java/io/violetrail/fleet/Machine.java
@@ -464,6 +464,26 @@
     tasks.setExitedReportBytes(bytes);
   }
 
+  /**
+   * Records that a report has shown the placement's attempt as exited before its launch was
+   * settled. Its room is free; the placement stays, so that the task is not started elsewhere yet.
+   */
+  public void recordUnsettledExit(TaskPlacement placement) {
+    tasks.setExitReported(placement, true);
+  }
+
+  /** Records that a report shows the attempt as running, whatever an earlier one has shown. */
+  public void recordNotExited(TaskPlacement placement) {
+    if (placement.isExitReported()) {
+      tasks.setExitReported(placement, false);
+    }
+  }
+
+  /** Returns how many of the placed tasks use room here. */
+  public int countTasksUsingRoom() {
+    return tasks.countUsingRoom();
+  }
+
   /** Records that a launch of the placement is sent to the worker now. */
   public void recordLaunch(TaskPlacement placement, double nowSeconds) {
     placement.markLaunched();
--- a/src/main/java/io/violetrail/fleet/PlacedTasks.java
+++ b/src/main/java/io/violetrail/fleet/PlacedTasks.java
@@ -81,6 +81,21 @@
     largestAcceleratorUse = null;
   }
 
+  /** Frees the room of a placement whose exit was reported, or counts it again. */
+  void setExitReported(TaskPlacement placement, boolean exited) {
+    placement.setExitReported(exited);
+    discardCaches();
+  }
+
+  /** Returns how many placements use room, so those whose exit was not reported. */
+  int countUsingRoom() {
+    int count = 0;
+    for (TaskPlacement placement : placements.values()) {
+      count += placement.isExitReported() ? 0 : 1;
+    }
+    return count;
+  }
+
   boolean remove(TaskPlacement placement) {
     discardCaches();
     boolean removed = placements.remove(placement.taskId(), placement);
@@ -119,7 +134,9 @@
   private Resources computeFreeCapacity() {
     Resources free = capacity.minus(new Resources(0, 0, 0, exitedReportBytes));
     for (TaskPlacement placement : placements.values()) {
-      free = free.minus(placement.job().spec().taskResources());
+      if (!placement.isExitReported()) {
+        free = free.minus(placement.job().spec().taskResources());
+      }
     }
     for (Resources taskResources : unknownTasks.values()) {
       free = free.minus(taskResources);
@@ -143,7 +160,7 @@
     Resources free = freeCapacity();
     if (placements.size() > regularTaskCount) {
       for (TaskPlacement placement : placements.values()) {
-        if (placement.job().bestEffort()) {
+        if (placement.job().bestEffort() && !placement.isExitReported()) {
           free = free.plus(placement.job().spec().taskResources());
         }
       }
--- a/src/main/java/io/violetrail/fleet/WarmCapacity.java
+++ b/src/main/java/io/violetrail/fleet/WarmCapacity.java
@@ -151,7 +151,8 @@
               job, machine.type(), machine.row().spot(), job.taskCount(), MAX_PRICE_RATIO)) {
         Resources capacity = machine.freeCapacity();
         for (TaskPlacement placement : machine.placements().values()) {
-          if (placement.job().spec().priority().compareTo(job.priority()) > 0) {
+          if (!placement.isExitReported()
+              && placement.job().spec().priority().compareTo(job.priority()) > 0) {
             capacity = capacity.plus(placement.job().spec().taskResources());
           }
         }
--- a/src/main/java/io/violetrail/scheduling/Preemption.java
+++ b/src/main/java/io/violetrail/scheduling/Preemption.java
@@ -223,7 +223,8 @@
     List<TaskPlacement> lowerPriority = new ArrayList<>();
     Resources capacityAfterPreemption = machine.freeCapacity();
     for (TaskPlacement placement : machine.placements().values()) {
-      if (placement.job().spec().priority().compareTo(job.spec().priority()) > 0) {
+      if (!placement.isExitReported()
+          && placement.job().spec().priority().compareTo(job.spec().priority()) > 0) {
         lowerPriority.add(placement);
         capacityAfterPreemption =
             capacityAfterPreemption.plus(placement.job().spec().taskResources());
--- a/src/main/java/io/violetrail/scheduling/TaskPlacement.java
+++ b/src/main/java/io/violetrail/scheduling/TaskPlacement.java
@@ -36,6 +36,9 @@
   /** When the task was last reported to have started running; 0 before. */
   private double runningSinceSeconds;
 
+  /** Whether a report has shown the attempt as exited before its launch was settled. */
+  private boolean exitReported;
+
   /** Whether the entity counts the task's resources as used; changed only by the entity. */
   private boolean countedAsUsed;
 
@@ -163,6 +166,19 @@
     return new TaskId(job.spec().id(), taskIndex);
   }
 
+  /**
+   * Returns whether a report has shown the attempt as exited before its launch was settled. It uses
+   * no room on its machine then, but nothing proves yet that the task may start elsewhere.
+   */
+  public boolean isExitReported() {
+    return exitReported;
+  }
+
+  /** Sets {@link #isExitReported}; called only by its machine, which accounts for the room. */
+  public void setExitReported(boolean exited) {
+    exitReported = exited;
+  }
+
   /** Returns whether no launch was sent to a worker yet, so that the placement can be removed. */
   public boolean isRevocable() {
     return launchReport == null && reportedState == null;
--- a/src/main/java/io/violetrail/worker/OwnedMachineHeartbeat.java
+++ b/src/main/java/io/violetrail/worker/OwnedMachineHeartbeat.java
@@ -134,7 +134,7 @@
       Version token,
       WorkerReport report,
       List<WorkerCommand> commands) {
-    final int placementCountBefore = machine.placements().size();
+    final int tasksUsingRoomBefore = machine.countTasksUsingRoom();
     final boolean wasSchedulable = machine.isSchedulable();
     reconciler.reconcile(entity, machine, report, loop.monotonicSeconds(), commands);
     machine.recordNewestReport(report.session(), report.sequence());
@@ -143,7 +143,7 @@
       return leaseRenewal.renew(entity, token, report, List.of());
     }
     drainer.drain(machine);
-    if (machine.placements().size() < placementCountBefore) {
+    if (machine.countTasksUsingRoom() < tasksUsingRoomBefore) {
       // Launches in this reply reuse the capacity of exited tasks at once; the next reply is a
       // heartbeat interval away. Only this machine is examined: with hundreds of machines, a pass
       // over all of them for each exited task would leave a small processor no time for heartbeats.
--- a/src/main/java/io/violetrail/worker/ReportReconciliation.java
+++ b/src/main/java/io/violetrail/worker/ReportReconciliation.java
@@ -140,6 +140,7 @@
       }
       placement = addReportedPlacement(job, taskReport);
     }
+    machine.recordNotExited(placement);
     if (placement.recordReportedState(taskReport.state(), nowSeconds)) {
       machine.recordImage(job.spec().image());
     }
@@ -222,9 +223,12 @@
     }
     if (placement != null
         && placement.attempt() == taskReport.attempt()
-        && !placement.isRevocable()
-        && (job.isDone(index) || isSettled(taskReport.taskId(), taskReport.attempt()))) {
-      removeExitedPlacement(job, placement, taskReport.exitCause());
+        && !placement.isRevocable()) {
+      if (job.isDone(index) || isSettled(taskReport.taskId(), taskReport.attempt())) {
+        removeExitedPlacement(job, placement, taskReport.exitCause());
+      } else {
+        machine.recordUnsettledExit(placement);
+      }
     }
     if (job.isDone(index)) {
       jobLifecycle.handleProgress(entity, job);
