Tests: the moved task's copy fails without the fix; room of a preempted task

Read again: copyOfLaunchDoesNotStartTaskThatFailedAndRunsElsewhere held before the fix too, since the copy came before the task had moved. It is copyOfLaunchDoesNotStartTaskThatRunsElsewhere now: an urgent job takes the machine, the task starts on the other one, then the copy arrives.

No product source changes.

--- a/src/test/java/io/violetrail/fakes/FakeWorker.java
+++ b/src/test/java/io/violetrail/fakes/FakeWorker.java
@@ -307,9 +307,14 @@
     }
   }
 
+  /** Returns the index, for {@link #receiveCopyOfReply}, of the latest reply with a launch. */
+  public int indexOfLatestLaunch() {
+    return messageLog.indexOfLatestLaunch();
+  }
+
   /** Lets a copy of the latest reply with a launch arrive. */
   public void receiveCopyOfLatestLaunch() {
-    receiveCopyOfReply(messageLog.indexOfLatestLaunch());
+    receiveCopyOfReply(indexOfLatestLaunch());
   }
 
   public int receivedCommandsCount() {
--- a/src/test/java/io/violetrail/simulation/LateCopiesTest.java
+++ b/src/test/java/io/violetrail/simulation/LateCopiesTest.java
@@ -114,16 +114,28 @@
 
   // Guards against a task that a copy of its launch starts again after it has been moved.
   @Test
-  void copyOfLaunchDoesNotStartTaskThatFailedAndRunsElsewhere() {
+  void copyOfLaunchDoesNotStartTaskThatRunsElsewhere() {
     final FakeWorker worker = startJob("job-1", 1);
-    worker.setFailsEveryTask(true);
-    simulation.runFor(1.5);
-    worker.setFailsEveryTask(false);
-    for (int step = 0; step < 40; step++) {
-      worker.receiveCopyOfLatestLaunch();
-      simulation.runFor(0.1);
-    }
-    simulation.runFor(30);
+    final int launch = worker.indexOfLatestLaunch();
+    ObjectNode urgentJob = SimulatedUser.jobRequest("job-2", 1).put("urgency", "prod");
+    user.submit("c0", urgentJob.put("cores", 6.0).put("yard", worker.zone()));
+    simulation.runUntil(3, () -> worker.runsTask("job-2/0"));
+    simulation.runUntil(20, () -> !simulation.cloud().workersRunning("job-1/0").isEmpty());
+    worker.receiveCopyOfReply(launch);
+    simulation.runFor(1);
+    assertEquals(1, simulation.cloud().workersRunning("job-1/0").size());
+    assertFalse(worker.runsTask("job-1/0"), "the task runs on the other machine");
+  }
+
+  // Guards against an urgent job that waits until the launch of a preempted task is settled.
+  @Test
+  void roomOfTaskThatIsPreemptedRightAfterItsLaunchIsFreeAtOnce() {
+    simulation.cloud().setCapacity(2);
+    startJob("job-1", 2);
+    awaitRunning("job-1/1");
+    user.submit(
+        "c0", SimulatedUser.jobRequest("job-2", 1).put("cores", 6.0).put("urgency", "prod"));
+    simulation.runUntil(3, () -> simulation.cloud().workersRunning("job-2/0").size() == 1);
   }
 
   // Guards against a copy of a launch that a silent machine executes after it has restarted, in a
